--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,246 @@
+// Package model holds the value types shared by the cores and the runtimes:
+// identifiers, flows, members, views of a service and load counts.
+package model
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// NodeID names one balancer or agent process.
+type NodeID string
+
+// ServiceName names a service, the unit that addresses and targets belong to.
+type ServiceName string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// Incarnation tells two lives of one NodeID apart. It is the boot time in
+// milliseconds, raised above any incarnation heard for the same NodeID.
+type Incarnation uint64
+
+// Protocol is an IP protocol number.
+type Protocol uint8
+
+// The protocols that a service address may use.
+const (
+	TCP Protocol = 6
+	UDP Protocol = 17
+)
+
+// String returns the lower-case name of the protocol.
+func (p Protocol) String() string {
+	switch p {
+	case TCP:
+		return "tcp"
+	case UDP:
+		return "udp"
+	}
+	return "other"
+}
+
+// ServiceAddr is an address that callers connect to.
+type ServiceAddr struct {
+	Addr  netip.AddrPort
+	Proto Protocol
+}
+
+// Compare orders service addresses.
+func (a ServiceAddr) Compare(b ServiceAddr) int {
+	if c := a.Addr.Compare(b.Addr); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Proto, b.Proto)
+}
+
+// String returns the address as "ip:port/protocol".
+func (a ServiceAddr) String() string { return a.Addr.String() + "/" + a.Proto.String() }
+
+// Flow is the 5-tuple of a packet from a caller. Src is the caller's address,
+// Dst the service's.
+type Flow struct {
+	Src   netip.AddrPort
+	Dst   netip.AddrPort
+	Proto Protocol
+}
+
+// ServiceAddr returns the address of the service that the flow is for.
+func (f Flow) ServiceAddr() ServiceAddr { return ServiceAddr{Addr: f.Dst, Proto: f.Proto} }
+
+// Compare orders flows, so that iteration over a set of them is repeatable.
+func (f Flow) Compare(g Flow) int {
+	if c := f.Src.Compare(g.Src); c != 0 {
+		return c
+	}
+	if c := f.Dst.Compare(g.Dst); c != 0 {
+		return c
+	}
+	return cmp.Compare(f.Proto, g.Proto)
+}
+
+// Hash returns a hash of the 5-tuple that is the same on every node.
+func (f Flow) Hash() uint64 {
+	src, dst := f.Src.Addr().As16(), f.Dst.Addr().As16()
+	h := uint64(f.Src.Port())<<32 | uint64(f.Dst.Port())<<16 | uint64(f.Proto)
+	h = Mix(h ^ be64(src[:8]))
+	h = Mix(h ^ be64(src[8:]))
+	h = Mix(h ^ be64(dst[:8]))
+	return Mix(h ^ be64(dst[8:]))
+}
+
+// HashString returns a hash of s that is the same on every node.
+func HashString(s string) uint64 {
+	h := uint64(14695981039346656037) // FNV-1a offset basis
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return Mix(h)
+}
+
+// Mix is the finalizer of splitmix64.
+func Mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+func be64(b []byte) uint64 {
+	_ = b[7]
+	return uint64(b[0])<<56 | uint64(b[1])<<48 | uint64(b[2])<<40 | uint64(b[3])<<32 |
+		uint64(b[4])<<24 | uint64(b[5])<<16 | uint64(b[6])<<8 | uint64(b[7])
+}
+
+// Kind is the role of a member.
+type Kind uint8
+
+// The kinds of member.
+const (
+	KindBalancer Kind = iota + 1
+	KindAgent
+)
+
+// State is the state of a member.
+type State uint8
+
+// The states of a member, in order of precedence: at equal incarnation and
+// sequence the later state wins.
+const (
+	// StateActive takes new flows and requests.
+	StateActive State = iota + 1
+	// StateLeaving takes no new work; its flows and requests go on.
+	StateLeaving
+	// StateSuspect is missed by its observers; it takes no new work and stays a candidate.
+	StateSuspect
+	// StateGone is removed; only its incarnation is remembered.
+	StateGone
+)
+
+// String returns the lower-case name of the state.
+func (s State) String() string {
+	switch s {
+	case StateActive:
+		return "active"
+	case StateLeaving:
+		return "leaving"
+	case StateSuspect:
+		return "suspect"
+	case StateGone:
+		return "gone"
+	}
+	return "invalid"
+}
+
+// Member is the record that a balancer or an agent announces about itself.
+// Only the member raises Incarnation and Seq; observers change State to
+// StateSuspect or StateGone at the same Incarnation and Seq.
+type Member struct {
+	ID          NodeID
+	Kind        Kind
+	DC          DataCentre
+	Service     ServiceName // empty for a balancer
+	Incarnation Incarnation
+	Seq         uint64
+	State       State
+
+	PeerAddr    netip.AddrPort // UDP: peer messages and forwarded packets
+	RequestAddr netip.AddrPort // TCP: requests moved between agents
+	AdminAddr   netip.AddrPort // TCP: ctl
+
+	Slots    int       // requests the target runs at once
+	MaxFlows int       // connections the target accepts
+	Weight   float64   // share of new work, 1 by default
+	Started  time.Time // start of the warm-up
+
+	// HeldAddrs lists the addresses that are no longer configured for Service
+	// but on which the agent still holds flows, in order.
+	HeldAddrs []ServiceAddr
+}
+
+// Newer reports whether m replaces old.
+func (m Member) Newer(old Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	if m.Seq != old.Seq {
+		return m.Seq > old.Seq
+	}
+	return m.State > old.State
+}
+
+// ServiceView is what a node believes about one service: its configuration and
+// the members behind it. Members are in order of their IDs.
+type ServiceView struct {
+	Service ServiceName
+	Addrs   []ServiceAddr
+	Members []Member
+	Policy  ServicePolicy
+}
+
+// Fingerprint is equal for views that rank targets alike: it covers the IDs,
+// incarnations, states and effective weights of the members.
+func (v ServiceView) Fingerprint() uint64 {
+	h := HashString(string(v.Service))
+	for i := range v.Members {
+		m := &v.Members[i]
+		h = Mix(h ^ HashString(string(m.ID)))
+		h = Mix(h ^ uint64(m.Incarnation))
+		h = Mix(h ^ uint64(m.State)<<32 ^ uint64(int64(m.Weight*1000)))
+	}
+	return h
+}
+
+// SortMembers puts members in order of their IDs.
+func SortMembers(ms []Member) {
+	slices.SortFunc(ms, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// ServicePolicy is the part of a service's configuration that agents act on.
+type ServicePolicy struct {
+	Queue             int           // waiting requests per target
+	Deadline          time.Duration // for requests that carry none
+	Warmup            time.Duration // ramp of a new target's weight
+	KeyRetention      time.Duration // how long the answer to a key is kept
+	IdempotentMethods []string
+}
+
+// DefaultPolicy is in force where no decision file sets a field.
+func DefaultPolicy() ServicePolicy {
+	return ServicePolicy{
+		Queue:             64,
+		Deadline:          10 * time.Second,
+		Warmup:            30 * time.Second,
+		KeyRetention:      time.Hour,
+		IdempotentMethods: []string{"GET", "HEAD", "OPTIONS"},
+	}
+}
+
+// Load is an agent's own count of its work.
+type Load struct {
+	Flows  int // open flows held
+	Busy   int // slots in use
+	Queued int // requests waiting
+}
