--- /dev/null
+++ b/internal/strategy/hrw/hrw.go
@@ -0,0 +1,62 @@
+// Package hrw implements weighted rendezvous hashing (highest random weight).
+// Adding or removing a candidate moves only the keys that the candidate wins.
+package hrw
+
+import (
+	"math"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+)
+
+// Candidate is one choice. ID is a hash of its name, see model.HashString; a
+// candidate with a weight of 0 or less is never chosen.
+type Candidate struct {
+	ID     uint64
+	Weight float64
+}
+
+// Score returns the rank value of one candidate for a key; the highest wins.
+// It is 0 for a candidate that must not be chosen and positive otherwise.
+func Score(key uint64, c Candidate) float64 {
+	if c.Weight <= 0 {
+		return 0
+	}
+	// 53 random bits, moved off 0 and 1 so that the logarithm is finite and not 0.
+	u := (float64(model.Mix(key^c.ID)>>11) + 0.5) / (1 << 53)
+	return -c.Weight / math.Log(u)
+}
+
+// First returns the index of the winning candidate, or -1 if there is none.
+func First(key uint64, cands []Candidate) int {
+	best, bestScore := -1, 0.0
+	for i, c := range cands {
+		if s := Score(key, c); s > bestScore {
+			best, bestScore = i, s
+		}
+	}
+	return best
+}
+
+// Order appends to dst the indices of the first n candidates, best first.
+func Order(dst []int, key uint64, cands []Candidate, n int) []int {
+	start := len(dst)
+	for i, c := range cands {
+		s := Score(key, c)
+		if s == 0 {
+			continue
+		}
+		pos := len(dst)
+		for pos > start && Score(key, cands[dst[pos-1]]) < s {
+			pos--
+		}
+		if pos-start >= n {
+			continue
+		}
+		if len(dst)-start < n {
+			dst = append(dst, 0)
+		}
+		copy(dst[pos+1:], dst[pos:len(dst)-1])
+		dst[pos] = i
+	}
+	return dst
+}
