message: add a short heartbeat, leveled digests and contact statements

A heartbeat with the whole member record does not fit the control budget of 3 KB/s a node when a balancer hears about 15 heartbeats a second. The record becomes optional, the ack carries the known sequence and state, a digest may cover one level of the map only, and relays state which data centres they lost.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -12,18 +12,26 @@
 type Message interface{ peerMessage() }
 
 // Heartbeat goes from an agent to its observers, and from a balancer to the
-// balancers that observe it.
+// balancers that observe it. Member is set only when the observer does not have
+// the record of this Incarnation and Seq yet: the short form keeps the heartbeats
+// of 59,000 agents within the control budget.
 type Heartbeat struct {
-	Member      model.Member
-	SliceDigest uint64 // digest of the sender's slice; 0 asks for the whole slice
-	FileRev     uint64 // newest store version of a decision file the sender holds
-	Load        model.Load
+	Incarnation model.Incarnation `cbor:"1,keyasint,omitempty"`
+	Seq         uint64            `cbor:"2,keyasint,omitempty"`
+	Member      model.Member      `cbor:"3,keyasint,omitzero"`
+	SliceDigest uint64            `cbor:"4,keyasint,omitempty"` // digest of the sender's slice; 0 asks for the whole slice
+	FileRev     uint64            `cbor:"5,keyasint,omitempty"` // newest store version of a decision file the sender holds
+	Load        model.Load        `cbor:"6,keyasint,omitzero"`
 }
 
-// HeartbeatAck answers a Heartbeat. SliceDigest tells whether a Slice follows.
+// HeartbeatAck answers a Heartbeat with the record that the observer has of the
+// sender. A sender that finds itself suspect, gone or outdated there raises its
+// sequence or incarnation.
 type HeartbeatAck struct {
-	Incarnation model.Incarnation // highest incarnation known for the sender's ID
-	SliceDigest uint64
+	Incarnation model.Incarnation `cbor:"1,keyasint,omitempty"` // 0: the incarnation of the heartbeat
+	Seq         uint64            `cbor:"2,keyasint,omitempty"`
+	State       model.State       `cbor:"3,keyasint,omitempty"` // 0: the observer has no record
+	SliceDigest uint64            `cbor:"4,keyasint,omitempty"` // 0: no Slice follows
 }
 
 // Slice is what an agent needs to know: the view of its own service and the
@@ -35,9 +43,19 @@
 	FileRev   uint64
 }
 
-// MemberDelta spreads changed member records.
+// MemberDelta spreads changed member records. Contacts stay within one data centre.
 type MemberDelta struct {
-	Members []model.Member
+	Members  []model.Member `cbor:"1,keyasint,omitempty"`
+	Contacts []Contact      `cbor:"2,keyasint,omitempty"`
+}
+
+// Contact is a relay's statement whether it hears from another data centre. The
+// highest Seq of a Relay and DC wins.
+type Contact struct {
+	Relay model.NodeID     `cbor:"1,keyasint"`
+	DC    model.DataCentre `cbor:"2,keyasint"`
+	Seq   uint64           `cbor:"3,keyasint"`
+	Lost  bool             `cbor:"4,keyasint,omitempty"`
 }
 
 // Suspicion is one observer's opinion that a member is unreachable.
@@ -73,11 +91,14 @@
 	MapFiles
 )
 
-// Digest summarises a replicated map, one hash per bucket.
+// Digest summarises a replicated map at one of three levels: one hash of the
+// whole map, one hash per group of buckets, or one hash per bucket of Groups.
 type Digest struct {
-	Map     MapID
-	Buckets []uint64
-	Reply   bool // the receiver must not answer with a digest of its own
+	Map     MapID    `cbor:"1,keyasint"`
+	Groups  []uint16 `cbor:"2,keyasint,omitempty"`
+	Buckets []uint64 `cbor:"3,keyasint"`
+	Reply   bool     `cbor:"4,keyasint,omitempty"` // the receiver must not answer with a digest of its own
+	Joining bool     `cbor:"5,keyasint,omitempty"` // the sender has not taken over the state of its peers yet
 }
 
 // Pull asks for the entries of the named buckets.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -158,26 +158,26 @@
 // Only the member raises Incarnation and Seq; observers change State to
 // StateSuspect or StateGone at the same Incarnation and Seq.
 type Member struct {
-	ID          NodeID
-	Kind        Kind
-	DC          DataCentre
-	Service     ServiceName // empty for a balancer
-	Incarnation Incarnation
-	Seq         uint64
-	State       State
-
-	PeerAddr    netip.AddrPort // UDP: peer messages and forwarded packets
-	RequestAddr netip.AddrPort // TCP: requests moved between agents
-	AdminAddr   netip.AddrPort // TCP: ctl
-
-	Slots    int       // requests the target runs at once
-	MaxFlows int       // connections the target accepts
-	Weight   float64   // share of new work, 1 by default
-	Started  time.Time // start of the warm-up
+	ID          NodeID      `cbor:"1,keyasint,omitempty"`
+	Kind        Kind        `cbor:"2,keyasint,omitempty"`
+	DC          DataCentre  `cbor:"3,keyasint,omitempty"`
+	Service     ServiceName `cbor:"4,keyasint,omitempty"` // empty for a balancer
+	Incarnation Incarnation `cbor:"5,keyasint,omitempty"`
+	Seq         uint64      `cbor:"6,keyasint,omitempty"`
+	State       State       `cbor:"7,keyasint,omitempty"`
+
+	PeerAddr    netip.AddrPort `cbor:"8,keyasint,omitzero"`  // UDP: peer messages and forwarded packets
+	RequestAddr netip.AddrPort `cbor:"9,keyasint,omitzero"`  // TCP: requests moved between agents
+	AdminAddr   netip.AddrPort `cbor:"10,keyasint,omitzero"` // TCP: ctl
+
+	Slots    int       `cbor:"11,keyasint,omitempty"` // requests the target runs at once
+	MaxFlows int       `cbor:"12,keyasint,omitempty"` // connections the target accepts
+	Weight   float64   `cbor:"13,keyasint,omitempty"` // share of new work, 1 by default
+	Started  time.Time `cbor:"14,keyasint,omitzero"`  // start of the warm-up
 
 	// HeldAddrs lists the addresses that are no longer configured for Service
 	// but on which the agent still holds flows, in order.
-	HeldAddrs []ServiceAddr
+	HeldAddrs []ServiceAddr `cbor:"15,keyasint,omitempty"`
 }
 
 // Newer reports whether m replaces old.
@@ -240,7 +240,7 @@
 
 // Load is an agent's own count of its work.
 type Load struct {
-	Flows  int // open flows held
-	Busy   int // slots in use
-	Queued int // requests waiting
+	Flows  int `cbor:"1,keyasint,omitempty"` // open flows held
+	Busy   int `cbor:"2,keyasint,omitempty"` // slots in use
+	Queued int `cbor:"3,keyasint,omitempty"` // requests waiting
 }
