--- /dev/null
+++ b/internal/membership/record.go
@@ -0,0 +1,111 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/replica"
+)
+
+// record is a model.Member as it is stored: the ID and version are in the
+// replica's entry, the three addresses normally share one IP address, and
+// rarely used fields are behind a pointer. A model.Member takes 248 bytes, of a
+// bound of 256 bytes for all that a balancer knows about a target.
+type record struct {
+	dc       model.DataCentre
+	service  model.ServiceName
+	ip       netip.Addr
+	weight   float64
+	started  int64 // Unix nanoseconds, 0 if unset
+	extra    *extra
+	slots    int32
+	maxFlows int32
+	peer     uint16
+	request  uint16
+	admin    uint16
+	kind     model.Kind
+	state    model.State
+}
+
+type extra struct {
+	held           []model.ServiceAddr
+	request, admin netip.AddrPort
+}
+
+// interner shares equal strings, so that a record costs only its string headers.
+type interner map[string]string
+
+func (in interner) get(s string) string {
+	if t, ok := in[s]; ok {
+		return t
+	}
+	in[s] = s
+	return s
+}
+
+func (in interner) pack(m *model.Member) replica.Entry[record] {
+	r := record{
+		dc:       model.DataCentre(in.get(string(m.DC))),
+		service:  model.ServiceName(in.get(string(m.Service))),
+		ip:       m.PeerAddr.Addr(),
+		weight:   m.Weight,
+		slots:    int32(m.Slots),
+		maxFlows: int32(m.MaxFlows),
+		peer:     m.PeerAddr.Port(),
+		request:  m.RequestAddr.Port(),
+		admin:    m.AdminAddr.Port(),
+		kind:     m.Kind,
+		state:    m.State,
+	}
+	if !m.Started.IsZero() {
+		r.started = m.Started.UnixNano()
+	}
+	shared := func(a netip.AddrPort) bool { return !a.IsValid() || a.Addr() == r.ip }
+	if len(m.HeldAddrs) > 0 || !shared(m.RequestAddr) || !shared(m.AdminAddr) {
+		r.extra = &extra{held: m.HeldAddrs, request: m.RequestAddr, admin: m.AdminAddr}
+	}
+	return replica.Entry[record]{
+		Key:     string(m.ID),
+		Version: replica.Version{Hi: uint64(m.Incarnation), Lo: m.Seq, Rank: uint8(m.State)},
+		Deleted: m.State == model.StateGone,
+		Value:   r,
+	}
+}
+
+func unpack(e replica.Entry[record]) model.Member {
+	r := &e.Value
+	m := model.Member{
+		ID: model.NodeID(e.Key), Kind: r.kind, DC: r.dc, Service: r.service,
+		Incarnation: model.Incarnation(e.Version.Hi), Seq: e.Version.Lo, State: r.state,
+		Slots: int(r.slots), MaxFlows: int(r.maxFlows), Weight: r.weight,
+	}
+	addr := func(port uint16) netip.AddrPort {
+		if port == 0 || !r.ip.IsValid() {
+			return netip.AddrPort{}
+		}
+		return netip.AddrPortFrom(r.ip, port)
+	}
+	m.PeerAddr, m.RequestAddr, m.AdminAddr = addr(r.peer), addr(r.request), addr(r.admin)
+	if r.extra != nil {
+		m.HeldAddrs, m.RequestAddr, m.AdminAddr = r.extra.held, r.extra.request, r.extra.admin
+	}
+	if r.started != 0 {
+		m.Started = time.Unix(0, r.started).UTC()
+	}
+	return m
+}
+
+// valid reports whether a record from the network can be stored.
+func valid(m *model.Member) bool {
+	return m.ID != "" && m.DC != "" && m.Incarnation > 0 &&
+		(m.Kind == model.KindBalancer || m.Kind == model.KindAgent) &&
+		m.State >= model.StateActive && m.State <= model.StateGone
+}
+
+// memberSize estimates the encoded size of a record in bytes.
+func memberSize(m model.Member) int {
+	return 80 + len(m.ID) + len(m.DC) + len(m.Service) + 24*len(m.HeldAddrs)
+}
+
+func recordSize(e replica.Entry[record]) int { return memberSize(unpack(e)) }
