--- /dev/null
+++ b/internal/packet/reset.go
@@ -0,0 +1,82 @@
+package packet
+
+import (
+	"github.com/google/gopacket"
+	"github.com/google/gopacket/layers"
+	"github.com/gravitational/trace"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+)
+
+// ErrNoReset refuses a reset in answer to a reset or to a packet other than TCP.
+const ErrNoReset Error = "packet_no_reset"
+
+// resetTTL is the hop limit of a reset, the usual default of hosts.
+const resetTTL = 64
+
+// ResetBuilder builds resets. It reuses its buffer and is not safe for
+// concurrent use.
+type ResetBuilder struct {
+	buf gopacket.SerializeBuffer
+}
+
+// Append appends to dst the IP packet that resets the connection of the packet
+// described by info, as RFC 9293 section 3.10.7.1 defines it: a packet with ACK
+// is answered with its acknowledgment number as the sequence number, another
+// one with a reset that acknowledges all of it.
+func (b *ResetBuilder) Append(dst []byte, info *Info) ([]byte, error) {
+	if info.Flow.Proto != model.TCP || info.RST {
+		return dst, ErrNoReset
+	}
+	if b.buf == nil {
+		b.buf = gopacket.NewSerializeBuffer()
+	}
+	tcp := layers.TCP{
+		SrcPort: layers.TCPPort(info.Flow.Dst.Port()),
+		DstPort: layers.TCPPort(info.Flow.Src.Port()),
+		RST:     true,
+	}
+	if info.ACK {
+		tcp.Seq = info.AckNum
+	} else {
+		tcp.ACK = true
+		tcp.Ack = info.Seq + segmentLength(info)
+	}
+	ip := resetHeader(info.Flow)
+	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
+		return dst, trace.Wrap(err)
+	}
+	opts := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	if err := gopacket.SerializeLayers(b.buf, opts, ip, &tcp); err != nil {
+		return dst, trace.Wrap(err)
+	}
+	return append(dst, b.buf.Bytes()...), nil
+}
+
+// ipLayer is an IP header that carries a transport layer.
+type ipLayer interface {
+	gopacket.SerializableLayer
+	gopacket.NetworkLayer
+}
+
+func resetHeader(f model.Flow) ipLayer {
+	src, dst := f.Dst.Addr().AsSlice(), f.Src.Addr().AsSlice()
+	if f.Dst.Addr().Is4() {
+		return &layers.IPv4{Version: 4, TTL: resetTTL, Flags: layers.IPv4DontFragment,
+			Protocol: layers.IPProtocolTCP, SrcIP: src, DstIP: dst}
+	}
+	return &layers.IPv6{Version: 6, HopLimit: resetTTL, NextHeader: layers.IPProtocolTCP, SrcIP: src, DstIP: dst}
+}
+
+// segmentLength returns the sequence space that the packet takes; SYN and FIN
+// count one each.
+func segmentLength(info *Info) uint32 {
+	n := uint32(info.Payload)
+	if info.SYN {
+		n++
+	}
+	if info.FIN {
+		n++
+	}
+	return n
+}
