Give Member, Flow, ServiceAddr and Load integer CBOR keys

Cause: field names doubled the size of the records that heartbeats, deltas and registrations carry in numbers. Change: struct tags on these four types; no field, name or method changes. Conclusion: the other messages keep their field names as keys.

--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -1,5 +1,6 @@
 // Package model holds the value types shared by the cores and the runtimes:
-// identifiers, flows, members, views of a service and load counts.
+// identifiers, flows, members, views of a service and load counts. Types that
+// peer messages carry in numbers have integer CBOR keys, which are never reused.
 package model
 
 import (
@@ -44,8 +45,8 @@
 
 // ServiceAddr is an address that callers connect to.
 type ServiceAddr struct {
-	Addr  netip.AddrPort
-	Proto Protocol
+	Addr  netip.AddrPort `cbor:"1,keyasint,omitzero"`
+	Proto Protocol       `cbor:"2,keyasint,omitzero"`
 }
 
 // Compare orders service addresses.
@@ -62,9 +63,9 @@
 // Flow is the 5-tuple of a packet from a caller. Src is the caller's address,
 // Dst the service's.
 type Flow struct {
-	Src   netip.AddrPort
-	Dst   netip.AddrPort
-	Proto Protocol
+	Src   netip.AddrPort `cbor:"1,keyasint,omitzero"`
+	Dst   netip.AddrPort `cbor:"2,keyasint,omitzero"`
+	Proto Protocol       `cbor:"3,keyasint,omitzero"`
 }
 
 // ServiceAddr returns the address of the service that the flow is for.
@@ -158,26 +159,26 @@
 // Only the member raises Incarnation and Seq; observers change State to
 // StateSuspect or StateGone at the same Incarnation and Seq.
 type Member struct {
-	ID          NodeID
-	Kind        Kind
-	DC          DataCentre
-	Service     ServiceName // empty for a balancer
-	Incarnation Incarnation
-	Seq         uint64
-	State       State
-
-	PeerAddr    netip.AddrPort // UDP: peer messages and forwarded packets
-	RequestAddr netip.AddrPort // TCP: requests moved between agents
-	AdminAddr   netip.AddrPort // TCP: ctl
-
-	Slots    int       // requests the target runs at once
-	MaxFlows int       // connections the target accepts
-	Weight   float64   // share of new work, 1 by default
-	Started  time.Time // start of the warm-up
+	ID          NodeID      `cbor:"1,keyasint,omitzero"`
+	Kind        Kind        `cbor:"2,keyasint,omitzero"`
+	DC          DataCentre  `cbor:"3,keyasint,omitzero"`
+	Service     ServiceName `cbor:"4,keyasint,omitzero"` // empty for a balancer
+	Incarnation Incarnation `cbor:"5,keyasint,omitzero"`
+	Seq         uint64      `cbor:"6,keyasint,omitzero"`
+	State       State       `cbor:"7,keyasint,omitzero"`
+
+	PeerAddr    netip.AddrPort `cbor:"8,keyasint,omitzero"`  // UDP: peer messages and forwarded packets
+	RequestAddr netip.AddrPort `cbor:"9,keyasint,omitzero"`  // TCP: requests moved between agents
+	AdminAddr   netip.AddrPort `cbor:"10,keyasint,omitzero"` // TCP: ctl
+
+	Slots    int       `cbor:"11,keyasint,omitzero"` // requests the target runs at once
+	MaxFlows int       `cbor:"12,keyasint,omitzero"` // connections the target accepts
+	Weight   float64   `cbor:"13,keyasint,omitzero"` // share of new work, 1 by default
+	Started  time.Time `cbor:"14,keyasint,omitzero"` // start of the warm-up
 
 	// HeldAddrs lists the addresses that are no longer configured for Service
 	// but on which the agent still holds flows, in order.
-	HeldAddrs []ServiceAddr
+	HeldAddrs []ServiceAddr `cbor:"15,keyasint,omitzero"`
 }
 
 // Newer reports whether m replaces old.
@@ -240,7 +241,7 @@
 
 // Load is an agent's own count of its work.
 type Load struct {
-	Flows  int // open flows held
-	Busy   int // slots in use
-	Queued int // requests waiting
+	Flows  int `cbor:"1,keyasint,omitzero"` // open flows held
+	Busy   int `cbor:"2,keyasint,omitzero"` // slots in use
+	Queued int `cbor:"3,keyasint,omitzero"` // requests waiting
 }
