Add the codec of the peer messages

Cause: peers must not act on forged, replayed or stale messages. Conclusion: additive fields need no new version.

--- /dev/null
+++ b/internal/wire/kinds.go
@@ -0,0 +1,105 @@
+package wire
+
+import (
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/message"
+)
+
+// kind numbers the messages in an envelope. Numbers are never reused.
+type kind uint8
+
+const (
+	kindHeartbeat kind = iota + 1
+	kindHeartbeatAck
+	kindSlice
+	kindMemberDelta
+	kindSuspicion
+	kindFileDelta
+	kindDigest
+	kindPull
+	kindForward
+	kindFlowAsk
+	kindFlowAnswer
+	kindFlowRegister
+	kindFlowRelease
+	kindFlowAck
+	kindFlowHint
+	kindLoadReport
+	kindKeyBegin
+	kindKeyReply
+	kindKeyDone
+	kindKeyDoneAck
+	kindKeyCopy
+	kindProbe
+	kindProbeAck
+)
+
+type decoder func(cbor.DecMode, []byte) (message.Message, error)
+
+var decoders = map[kind]decoder{
+	kindHeartbeat:    decode[message.Heartbeat],
+	kindHeartbeatAck: decode[message.HeartbeatAck],
+	kindSlice:        decode[message.Slice],
+	kindMemberDelta:  decode[message.MemberDelta],
+	kindSuspicion:    decode[message.Suspicion],
+	kindFileDelta:    decode[message.FileDelta],
+	kindDigest:       decode[message.Digest],
+	kindPull:         decode[message.Pull],
+	kindForward:      decode[message.Forward],
+	kindFlowAsk:      decode[message.FlowAsk],
+	kindFlowAnswer:   decode[message.FlowAnswer],
+	kindFlowRegister: decode[message.FlowRegister],
+	kindFlowRelease:  decode[message.FlowRelease],
+	kindFlowAck:      decode[message.FlowAck],
+	kindFlowHint:     decode[message.FlowHint],
+	kindLoadReport:   decode[message.LoadReport],
+	kindKeyBegin:     decode[message.KeyBegin],
+	kindKeyReply:     decode[message.KeyReply],
+	kindKeyDone:      decode[message.KeyDone],
+	kindKeyDoneAck:   decode[message.KeyDoneAck],
+	kindKeyCopy:      decode[message.KeyCopy],
+	kindProbe:        decode[message.Probe],
+	kindProbeAck:     decode[message.ProbeAck],
+}
+
+var kinds = map[reflect.Type]kind{
+	reflect.TypeFor[message.Heartbeat]():    kindHeartbeat,
+	reflect.TypeFor[message.HeartbeatAck](): kindHeartbeatAck,
+	reflect.TypeFor[message.Slice]():        kindSlice,
+	reflect.TypeFor[message.MemberDelta]():  kindMemberDelta,
+	reflect.TypeFor[message.Suspicion]():    kindSuspicion,
+	reflect.TypeFor[message.FileDelta]():    kindFileDelta,
+	reflect.TypeFor[message.Digest]():       kindDigest,
+	reflect.TypeFor[message.Pull]():         kindPull,
+	reflect.TypeFor[message.Forward]():      kindForward,
+	reflect.TypeFor[message.FlowAsk]():      kindFlowAsk,
+	reflect.TypeFor[message.FlowAnswer]():   kindFlowAnswer,
+	reflect.TypeFor[message.FlowRegister](): kindFlowRegister,
+	reflect.TypeFor[message.FlowRelease]():  kindFlowRelease,
+	reflect.TypeFor[message.FlowAck]():      kindFlowAck,
+	reflect.TypeFor[message.FlowHint]():     kindFlowHint,
+	reflect.TypeFor[message.LoadReport]():   kindLoadReport,
+	reflect.TypeFor[message.KeyBegin]():     kindKeyBegin,
+	reflect.TypeFor[message.KeyReply]():     kindKeyReply,
+	reflect.TypeFor[message.KeyDone]():      kindKeyDone,
+	reflect.TypeFor[message.KeyDoneAck]():   kindKeyDoneAck,
+	reflect.TypeFor[message.KeyCopy]():      kindKeyCopy,
+	reflect.TypeFor[message.Probe]():        kindProbe,
+	reflect.TypeFor[message.ProbeAck]():     kindProbeAck,
+}
+
+func kindOf(m message.Message) (kind, bool) {
+	k, ok := kinds[reflect.TypeOf(m)]
+	return k, ok
+}
+
+func decode[M message.Message](dec cbor.DecMode, body []byte) (message.Message, error) {
+	var m M
+	if err := dec.Unmarshal(body, &m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/wire/replay_test.go
@@ -0,0 +1,55 @@
+package wire
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+)
+
+// Guards against a window that accepts a sequence twice or refuses a new one
+// within it. The model remembers every sequence.
+func TestWindowAgreesWithModel(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var s sender
+	seen, highest := map[uint64]bool{}, uint64(0)
+	for range 200_000 {
+		seq := highest + 1 + uint64(rnd.IntN(3))
+		switch rnd.IntN(50) {
+		case 0:
+			seq += uint64(rnd.IntN(3000)) // a jump, up to beyond the window
+		default:
+			if back := uint64(rnd.IntN(Window + 100)); back < seq && rnd.IntN(2) == 0 {
+				seq -= back
+			}
+		}
+		want := !seen[seq] && seq+Window > highest
+		is.Equal(s.mark(seq), want)
+		if want {
+			seen[seq] = true
+			highest = max(highest, seq)
+		}
+	}
+	is.True(!s.mark(0))
+}
+
+// Guards against growth with the number of senders, and against forgetting the
+// senders that are still heard when others are added.
+func TestSendersAreBounded(t *testing.T) {
+	is := is.New(t)
+	table := newReplayTable(replayShards * 4)
+	for i := range uint64(10_000) {
+		is.NoErr(table.accept("kept", 1, i+1))
+		is.NoErr(table.accept(model.NodeID(fmt.Sprint("passing-", i)), 1, 1))
+	}
+	held, evicted := table.stats()
+	is.Equal(held, replayShards*4)
+	is.Equal(evicted, uint64(10_001-replayShards*4))
+	is.Equal(table.accept("kept", 1, 10_000), error(ErrReplay))
+	is.NoErr(table.accept("kept", 2, 1)) // restarted
+	is.Equal(table.accept("kept", 1, 10_001), error(ErrStale))
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,293 @@
+package wire
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+	"net/netip"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/message"
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+)
+
+var (
+	oldKey  = []byte("old-key-old-key-old-key-old-key!")
+	nextKey = []byte("new-key-new-key-new-key-new-key!")
+)
+
+func codec(t testing.TB, id model.NodeID, inc model.Incarnation, keys ...[]byte) *Codec {
+	t.Helper()
+	c, err := New(Options{Self: id, Incarnation: inc, Keys: keys, MaxSenders: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func seal(t testing.TB, c *Codec, m message.Message) []byte {
+	t.Helper()
+	out, err := c.Seal(nil, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// fill sets every field of v to a value other than zero.
+func fill(v reflect.Value) {
+	switch x := v.Addr().Interface().(type) {
+	case *time.Time:
+		*x = time.Date(2026, 3, 1, 12, 0, 0, 123456789, time.UTC)
+		return
+	case *netip.AddrPort:
+		*x = netip.MustParseAddrPort("[2001:db8::1]:80")
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i))
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		fill(v.Index(0))
+		fill(v.Index(1))
+	case reflect.Map:
+		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
+		fill(key)
+		fill(value)
+		v.Set(reflect.MakeMap(v.Type()))
+		v.SetMapIndex(key, value)
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem())
+	case reflect.String:
+		v.SetString("dispatch")
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(0.3)
+	default:
+		if v.CanInt() {
+			v.SetInt(7)
+		} else {
+			v.SetUint(7)
+		}
+	}
+}
+
+// Guards against a kind that cannot be sent, and against a field of any message
+// that is lost on the way.
+func TestEveryMessageArrivesWhole(t *testing.T) {
+	a, b := codec(t, "a", 5, oldKey), codec(t, "b", 1, oldKey)
+	seq := uint64(0)
+	for typ, k := range kinds {
+		v := reflect.New(typ).Elem()
+		fill(v)
+		t.Run(typ.Name(), func(t *testing.T) {
+			is := is.New(t)
+			is.True(decoders[k] != nil)
+			seq++
+			env, err := b.Open(seal(t, a, v.Interface().(message.Message)))
+			is.NoErr(err)
+			is.Equal(env, Envelope{From: "a", Incarnation: 5, Seq: seq, Msg: v.Interface().(message.Message)})
+		})
+	}
+}
+
+// Guards against accepting a datagram that must be dropped, or dropping it
+// under another reason, and against a forged one that moves the replay window.
+func TestRefusals(t *testing.T) {
+	probe := message.Probe{ID: 9}
+	for _, c := range []struct {
+		name string
+		want error
+		data func(a, b *Codec) []byte
+	}{
+		{"changed content", ErrMAC, func(a, b *Codec) []byte { d := seal(t, a, probe); d[12] ^= 1; return d }},
+		{"forged far sequence", ErrMAC, func(a, b *Codec) []byte {
+			a.seq.Add(5000)
+			d := seal(t, a, probe)
+			a.seq.Store(0)
+			d[len(d)-1] ^= 1
+			return d
+		}},
+		{"cut off", ErrMAC, func(a, b *Codec) []byte { d := seal(t, a, probe); return d[:len(d)-1] }},
+		{"short", ErrMalformed, func(a, b *Codec) []byte { return seal(t, a, probe)[:20] }},
+		{"other key", ErrKey, func(a, b *Codec) []byte { return seal(t, codec(t, "a", 5, nextKey), probe) }},
+		{"older version", ErrVersionOlder, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version-1, kindProbe, probe); return d }},
+		{"newer version", ErrVersionNewer, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version+1, kindProbe, probe); return d }},
+		{"unknown kind", ErrKind, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version, 200, probe); return d }},
+		{"body of another type", ErrMalformed, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version, kindProbe, "text"); return d }},
+		{"own message", ErrSelf, func(a, b *Codec) []byte { return seal(t, b, probe) }},
+		{"replay", ErrReplay, func(a, b *Codec) []byte { d := seal(t, a, probe); _, _ = b.Open(d); return d }},
+		{"stale incarnation", ErrStale, func(a, b *Codec) []byte {
+			d := seal(t, a, probe)
+			a.SetIncarnation(6)
+			_, _ = b.Open(seal(t, a, probe))
+			return d
+		}},
+		{"too large", ErrTooLarge, func(a, b *Codec) []byte { return make([]byte, MaxDatagram+1) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a, b := codec(t, "a", 5, oldKey), codec(t, "b", 1, oldKey)
+			env, err := b.Open(c.data(a, b))
+			is.Equal(err, c.want)
+			is.Equal(env, Envelope{})
+			_, err = b.Open(seal(t, a, probe))
+			is.NoErr(err) // the sender's next message
+		})
+	}
+}
+
+// Guards against bodies that a strict decoder must refuse.
+func TestStrictCBOR(t *testing.T) {
+	for _, body := range []string{
+		"a2" + "624944" + "01" + "624944" + "02", // {"ID": 1, "ID": 2}
+		"bf" + "624944" + "01" + "ff",            // indefinite length
+		"a1" + "624944" + "c101",                 // tag
+		"a1" + "624944" + "01" + "00",            // bytes after the message
+		"a1" + "624944" + "20",                   // a negative id
+		strings.Repeat("81", 40) + "01",          // nesting
+	} {
+		is := is.New(t)
+		raw, err := hex.DecodeString(body)
+		is.NoErr(err)
+		_, err = decoders[kindProbe](codec(t, "b", 1, oldKey).dec, raw)
+		is.True(err != nil)
+	}
+	_, err := codec(t, "b", 1, oldKey).Seal(nil, message.Heartbeat{Member: model.Member{Weight: math.NaN()}})
+	is.New(t).Equal(err, error(ErrEncode))
+}
+
+// Guards against an upgrade that cuts off the nodes of the release before or
+// after it: both have other fields in a message of the same version.
+func TestFieldsOfOtherReleases(t *testing.T) {
+	is := is.New(t)
+	a, b := codec(t, "a", 5, oldKey), codec(t, "b", 1, oldKey)
+	newer, err := a.seal(nil, Version, kindProbe, struct {
+		ID    uint64
+		Path  uint8
+		Added []string
+	}{9, 2, []string{"x"}})
+	is.NoErr(err)
+	env, err := b.Open(newer)
+	is.NoErr(err)
+	is.Equal(env.Msg, message.Probe{ID: 9, Path: 2})
+	older, err := a.seal(nil, Version, kindProbe, struct{ ID uint64 }{9})
+	is.NoErr(err)
+	env, err = b.Open(older)
+	is.NoErr(err)
+	is.Equal(env.Msg, message.Probe{ID: 9})
+}
+
+// Guards against a rotation during which two nodes cannot talk.
+func TestKeyRotation(t *testing.T) {
+	is := is.New(t)
+	a, b := codec(t, "a", 1, oldKey), codec(t, "b", 1, oldKey, nextKey)
+	steps := [][][]byte{{oldKey, nextKey}, {nextKey, oldKey}, {nextKey}}
+	for _, keys := range steps {
+		is.NoErr(a.SetKeys(keys))
+		_, err := b.Open(seal(t, a, message.FlowAck{Seq: 1}))
+		is.NoErr(err)
+		_, err = a.Open(seal(t, b, message.FlowAck{Seq: 1}))
+		is.NoErr(err)
+		is.NoErr(b.SetKeys(keys))
+	}
+	_, err := b.Open(seal(t, codec(t, "c", 1, oldKey), message.FlowAck{}))
+	is.Equal(err, error(ErrKey))
+}
+
+// Guards against keys in logs and on status pages.
+func TestKeysAreNeverPrinted(t *testing.T) {
+	is := is.New(t)
+	o := Options{Self: "a", Keys: [][]byte{oldKey, oldKey}}
+	_, err := New(o)
+	is.True(err != nil) // the same key twice
+	o.Keys[1] = oldKey[:8]
+	_, errShort := New(o)
+	is.True(errShort != nil)
+	out := fmt.Sprintf("%v %+v %#v %s %x %d", o, &o, o, o, o, o) +
+		fmt.Sprintf("%+v %#v %x", codec(t, "a", 1, oldKey), codec(t, "a", 1, oldKey), codec(t, "a", 1, oldKey)) +
+		fmt.Sprintf("%+v %+v", err, errShort)
+	for _, form := range []string{"old-key", hex.EncodeToString(oldKey[:8]), strings.Trim(fmt.Sprint(oldKey[:8]), "[]")} {
+		is.True(!strings.Contains(out, form))
+	}
+}
+
+// Guards against a bound that refuses what fits, or passes what does not.
+func TestLargestForward(t *testing.T) {
+	is := is.New(t)
+	a, b := codec(t, model.NodeID(strings.Repeat("a", MaxSenderID)), math.MaxUint64, oldKey), codec(t, "b", 1, oldKey)
+	a.seq.Store(math.MaxUint64 - 4)
+	m := message.Forward{Service: "dispatch", Hops: 3}
+	empty, err := a.enc.Marshal(m)
+	is.NoErr(err)
+	m.Packet = make([]byte, MaxBody-len(empty)-2) // the head of the byte string grows by 2
+	d := seal(t, a, m)
+	is.Equal(len(d), MaxDatagram-1) // kinds below 24 take 1 byte of the 2 reserved
+	_, err = b.Open(d)
+	is.NoErr(err)
+	m.Packet = append(m.Packet, 0)
+	prefix := []byte("kept")
+	out, err := a.Seal(prefix, m)
+	is.Equal(err, error(ErrTooLarge))
+	is.Equal(out, prefix)
+}
+
+// Guards against data races and sequences used twice. Run with -race.
+func TestConcurrentUse(t *testing.T) {
+	is := is.New(t)
+	a, b := codec(t, "a", 1, oldKey), codec(t, "b", 1, oldKey)
+	var wg sync.WaitGroup
+	errs := make(chan error, 8*50)
+	for range 8 {
+		wg.Go(func() {
+			for range 50 { // 400 in all, within the window in any order
+				d, err := a.Seal(nil, message.FlowAck{Seq: 3})
+				if err == nil {
+					_, err = b.Open(d)
+				}
+				errs <- err
+			}
+		})
+	}
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		is.NoErr(err)
+	}
+}
+
+// Guards against panics on unauthenticated and on authenticated input, and
+// against a refusal without a drop reason.
+func FuzzOpen(f *testing.F) {
+	a := codec(f, "a", 5, oldKey)
+	for typ := range kinds {
+		v := reflect.New(typ).Elem()
+		fill(v)
+		d := seal(f, a, v.Interface().(message.Message))
+		f.Add(d[:len(d)-macSize])
+	}
+	f.Fuzz(func(t *testing.T, signed []byte) {
+		b := codec(t, "b", 1, oldKey)
+		for _, d := range [][]byte{signed, b.keys.Load().signing().appendMAC(append([]byte(nil), signed...), signed)} {
+			env, err := b.Open(d)
+			if err == nil {
+				if _, err := b.Seal(nil, env.Msg); err != nil && err != ErrTooLarge {
+					t.Fatalf("opened message %T cannot be sealed: %v", env.Msg, err)
+				}
+			} else if _, ok := err.(Error); !ok {
+				t.Fatalf("error %T has no drop reason", err)
+			}
+		}
+	})
+}
