--- /dev/null
+++ b/internal/strategy/p2c/p2c.go
@@ -0,0 +1,58 @@
+// Package p2c implements the power of two choices: of two candidates chosen at
+// random, the one with less load per weight takes the work.
+package p2c
+
+import "github.com/bulrushshelf/bulrushshelf/internal/model"
+
+// Candidate is one choice. One with a weight of 0 or less is never chosen.
+type Candidate struct {
+	Load   int
+	Weight float64
+}
+
+// Less reports whether a has less load per weight than b, each counted with the
+// work to place, so that idle candidates compare by weight.
+func Less(a, b Candidate) bool {
+	return float64(a.Load+1)*b.Weight < float64(b.Load+1)*a.Weight
+}
+
+// Pick returns the index of the chosen candidate, or -1 if there is none. Equal
+// seeds give equal choices.
+func Pick(seed uint64, cands []Candidate) int {
+	eligible := 0
+	for _, c := range cands {
+		if c.Weight > 0 {
+			eligible++
+		}
+	}
+	if eligible == 0 {
+		return -1
+	}
+	r := model.Mix(seed)
+	first := int(r >> 32 % uint64(eligible))
+	a := nth(cands, first)
+	if eligible == 1 {
+		return a
+	}
+	// An offset from 1 to eligible-1 makes the second choice another candidate.
+	second := (first + 1 + int(r&0xffffffff%uint64(eligible-1))) % eligible
+	b := nth(cands, second)
+	if Less(cands[b], cands[a]) {
+		return b
+	}
+	return a
+}
+
+// nth returns the index of the nth candidate with a weight.
+func nth(cands []Candidate, n int) int {
+	for i, c := range cands {
+		if c.Weight <= 0 {
+			continue
+		}
+		if n == 0 {
+			return i
+		}
+		n--
+	}
+	return -1
+}
