--- /dev/null
+++ b/internal/strictyaml/finding.go
@@ -0,0 +1,70 @@
+// Package strictyaml decodes small YAML files strictly and reports every fault
+// of a file with its position. Decision files and settings files share it.
+package strictyaml
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Position is a place in a file. Lines and columns start at 1; columns count
+// characters.
+type Position struct {
+	Line   int `json:"line"`
+	Column int `json:"column"`
+}
+
+// Finding is one fault of a file or of a command-line flag.
+type Finding struct {
+	File string `json:"file,omitempty"`
+	// Flag is the flag with its dashes when the value came from the command
+	// line; File and Position are then empty.
+	Flag string `json:"flag,omitempty"`
+	Position
+	Message string `json:"message"`
+}
+
+// String returns the finding as "file:line:column: message" or "flag: message".
+func (f Finding) String() string {
+	if f.Flag != "" {
+		return f.Flag + ": " + f.Message
+	}
+	return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Message)
+}
+
+// Compare orders findings by file, position, flag and message.
+func (f Finding) Compare(g Finding) int {
+	return cmp.Or(
+		cmp.Compare(f.File, g.File),
+		cmp.Compare(f.Line, g.Line),
+		cmp.Compare(f.Column, g.Column),
+		cmp.Compare(f.Flag, g.Flag),
+		cmp.Compare(f.Message, g.Message),
+	)
+}
+
+// Findings is a list of faults. It is an error so that a caller can return it
+// as one; an empty list must be returned as a nil error, see Err.
+type Findings []Finding
+
+// Error returns one finding per line.
+func (fs Findings) Error() string {
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns nil when there are no findings.
+func (fs Findings) Err() error {
+	if len(fs) == 0 {
+		return nil
+	}
+	return fs
+}
+
+// Sort orders the findings by file and position.
+func (fs Findings) Sort() { slices.SortFunc(fs, Finding.Compare) }
