message: add Reserve and ReserveReply

An agent whose slots are busy keeps a slot at a peer before it moves a request there. No existing message carries that question. Package wire needs the two new kinds.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -152,6 +152,21 @@
 	Load model.Load
 }
 
+// Reserve asks an agent to keep a slot for a request that the sender will move
+// there. With Release set it gives an unused reservation back.
+type Reserve struct {
+	ID      uint64 // chosen by the sender, echoed in the reply and in the moved request
+	Queue   bool   // a place in the queue is enough, because the sender is leaving
+	Release bool
+}
+
+// ReserveReply answers a Reserve.
+type ReserveReply struct {
+	ID      uint64
+	Granted bool
+	Load    model.Load
+}
+
 // KeyBegin asks a home to record a key before its request runs.
 type KeyBegin struct {
 	ID          uint64
@@ -286,6 +301,8 @@
 func (FlowAck) peerMessage()      {}
 func (FlowHint) peerMessage()     {}
 func (LoadReport) peerMessage()   {}
+func (Reserve) peerMessage()      {}
+func (ReserveReply) peerMessage() {}
 func (KeyBegin) peerMessage()     {}
 func (KeyReply) peerMessage()     {}
 func (KeyDone) peerMessage()      {}
