message: let a Reserve wait for a slot

A peer without a free slot now notes the reservation and grants it when a slot becomes free, to the sender whose request has waited longest. Reserve carries that time, and ReserveReply says whether a grant will follow.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -153,17 +153,20 @@
 }
 
 // Reserve asks an agent to keep a slot for a request that the sender will move
-// there. With Release set it gives an unused reservation back.
+// there. With Release set it gives the reservation back.
 type Reserve struct {
-	ID      uint64 // chosen by the sender, echoed in the reply and in the moved request
-	Queue   bool   // a place in the queue is enough, because the sender is leaving
+	ID      uint64        // grows with each Reserve; echoed in the reply and in the moved request
+	Waited  time.Duration // by the sender's oldest request; free slots go to the oldest
+	Queue   bool          // a place in the queue is enough, because the sender is leaving
 	Release bool
 }
 
-// ReserveReply answers a Reserve.
+// ReserveReply answers a Reserve, a second time when a slot becomes free for a
+// sender that was told to wait.
 type ReserveReply struct {
 	ID      uint64
 	Granted bool
+	Waiting bool // not granted yet; a grant follows when a slot is free
 	Load    model.Load
 }
 
