--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -173,6 +173,24 @@
 	Load model.Load
 }
 
+// Reserve asks an agent to keep a slot for a request that the sender will move
+// there. With Release set it gives the reservation back.
+type Reserve struct {
+	ID      uint64        // grows with each Reserve; echoed in the reply and in the moved request
+	Waited  time.Duration // by the sender's oldest request; free slots go to the oldest
+	Queue   bool          // a place in the queue is enough, because the sender is leaving
+	Release bool
+}
+
+// ReserveReply answers a Reserve, a second time when a slot becomes free for a
+// sender that was told to wait.
+type ReserveReply struct {
+	ID      uint64
+	Granted bool
+	Waiting bool // not granted yet; a grant follows when a slot is free
+	Load    model.Load
+}
+
 // KeyBegin asks a home to record a key before its request runs.
 type KeyBegin struct {
 	ID          uint64
@@ -307,6 +325,8 @@
 func (FlowAck) peerMessage()      {}
 func (FlowHint) peerMessage()     {}
 func (LoadReport) peerMessage()   {}
+func (Reserve) peerMessage()      {}
+func (ReserveReply) peerMessage() {}
 func (KeyBegin) peerMessage()     {}
 func (KeyReply) peerMessage()     {}
 func (KeyDone) peerMessage()      {}
