replica: keep tombstones by version distance where versions are one sequence

Tombstones dropped by local time differ between replicas, so the digest could not cover them, and a restarted node could lack a removal and take an old delta. With a horizon all replicas drop the same tombstones and the digest covers them. Joining nodes also ask peers of other data centres, since all local ones may be joining too.

--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -21,6 +21,7 @@
 	m       *replica.Map[V]
 	joining bool
 	next    time.Time
+	turn    int
 	serving bool           // a peer that is not joining was heard
 	agreed  []model.NodeID // serving peers whose whole digest equalled ours, while joining
 }
@@ -51,7 +52,9 @@
 	}
 	if r.joining {
 		r.next = now.Add(JoinInterval)
-		if to := peers.Random(fanout); len(to) == fanout {
+		r.turn++
+		// Every second time any data centre: all local peers may be joining too.
+		if to := peers.Random(fanout); len(to) == fanout && r.turn%2 == 1 {
 			return to
 		}
 		others := slices.DeleteFunc(peers.All(), func(p Peer) bool { return p.ID == peers.self.ID })
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -52,10 +52,11 @@
 	return Entry[V]{Key: s.key, Version: s.version(), Deleted: s.deleted, Value: s.value}
 }
 
-// hash covers what the digest compares. Tombstones count as absent, so that
-// replicas that drop them at different times have equal digests.
-func (s *slot[V]) hash() uint64 {
-	if s.deleted {
+// hash covers what the digest compares. Tombstones kept for a time count as
+// absent, because replicas drop them at different times; those within a horizon
+// are the same on all replicas and count.
+func (m *Map[V]) hash(s *slot[V]) uint64 {
+	if s.deleted && m.opt.Horizon == 0 {
 		return 0
 	}
 	h := model.Mix(model.HashString(s.key) ^ s.hi)
@@ -71,6 +72,10 @@
 	// replica that was cut off for longer may bring a deleted key back.
 	Retention     time.Duration
 	MaxTombstones int
+	// Horizon, if not 0, replaces both: a tombstone is kept while its Hi is at
+	// most Horizon below the highest Hi of the map. It suits versions that are
+	// one sequence over all keys.
+	Horizon uint64
 }
 
 // Map is a last-writer-wins map. It is not safe for concurrent use.
@@ -78,6 +83,7 @@
 	opt     Options
 	now     time.Time
 	floor   uint64
+	highest uint64 // Hi of all entries
 	live    int
 	buckets [][]slot[V] // in order of keys
 	leaves  []uint64    // XOR of the hashes of a bucket
@@ -104,6 +110,9 @@
 // Tombstones returns the number of tombstones kept.
 func (m *Map[V]) Tombstones() int { return len(m.tombs) }
 
+// Highest returns the highest Hi of any entry ever held.
+func (m *Map[V]) Highest() uint64 { return m.highest }
+
 // Floor returns the version set by SetFloor.
 func (m *Map[V]) Floor() uint64 { return m.floor }
 
@@ -143,6 +152,9 @@
 // Advance sets the time at which tombstones are recorded and drops old ones.
 func (m *Map[V]) Advance(now time.Time) {
 	m.now = now
+	if m.opt.Horizon > 0 {
+		return
+	}
 	n := 0
 	for n < len(m.tombs) && now.Sub(m.tombs[n].at) >= m.opt.Retention {
 		n++
@@ -152,14 +164,40 @@
 
 func (m *Map[V]) dropTombstones(n int) {
 	for _, t := range m.tombs[:n] {
-		b, i, ok := m.find(t.key)
-		if ok && m.buckets[b][i].deleted && m.buckets[b][i].version() == t.version {
-			m.buckets[b] = slices.Delete(m.buckets[b], i, i+1)
-		}
+		m.dropTombstone(t)
 	}
 	m.tombs = slices.Delete(m.tombs, 0, n)
 }
 
+func (m *Map[V]) dropTombstone(t tombstone) {
+	b, i, ok := m.find(t.key)
+	if !ok || !m.buckets[b][i].deleted || m.buckets[b][i].version() != t.version {
+		return
+	}
+	m.xor(b, m.hash(&m.buckets[b][i]))
+	m.buckets[b] = slices.Delete(m.buckets[b], i, i+1)
+}
+
+// beyond reports whether a tombstone of this Hi is older than the horizon.
+func (m *Map[V]) beyond(hi uint64) bool {
+	return m.opt.Horizon > 0 && m.highest > m.opt.Horizon && hi < m.highest-m.opt.Horizon
+}
+
+// trim drops the tombstones that Apply made too many or too old.
+func (m *Map[V]) trim() {
+	if m.opt.Horizon == 0 {
+		m.dropTombstones(max(0, len(m.tombs)-m.opt.MaxTombstones))
+		return
+	}
+	m.tombs = slices.DeleteFunc(m.tombs, func(t tombstone) bool {
+		if m.beyond(t.version.Hi) {
+			m.dropTombstone(t)
+			return true
+		}
+		return false
+	})
+}
+
 // Apply takes over the entries that are newer than the map's own and returns
 // what it stored. A key that is not live and comes at or below the floor was
 // deleted before the floor: Apply stores and returns a tombstone in its place,
@@ -173,11 +211,14 @@
 		if !e.Deleted && e.Version.Hi <= m.floor && (!held || m.buckets[b][i].deleted) {
 			e = Entry[V]{Key: e.Key, Version: Version{Hi: m.floor, Rank: RankDeleted}, Deleted: true}
 		}
+		if !held && e.Deleted && m.beyond(e.Version.Hi) {
+			continue
+		}
 		m.store(b, i, held, e)
 		changed = append(changed, e)
 	}
-	if extra := len(m.tombs) - m.opt.MaxTombstones; extra > 0 {
-		m.dropTombstones(extra)
+	if len(changed) > 0 {
+		m.trim()
 	}
 	return changed
 }
@@ -191,7 +232,10 @@
 		m.buckets[b] = slices.Insert(m.buckets[b], i, slot[V]{key: e.Key, deleted: true})
 	}
 	s := &m.buckets[b][i]
-	diff := s.hash()
+	var diff uint64
+	if held {
+		diff = m.hash(s)
+	}
 	if !s.deleted {
 		m.live--
 	}
@@ -202,9 +246,14 @@
 	} else {
 		m.live++
 	}
-	diff ^= s.hash()
-	m.leaves[b] ^= diff
-	m.groups[b/m.opt.Groups] ^= diff
+	m.highest = max(m.highest, s.hi)
+	m.xor(b, diff^m.hash(s))
+}
+
+// xor changes the hashes that cover a bucket.
+func (m *Map[V]) xor(bucket int, diff uint64) {
+	m.leaves[bucket] ^= diff
+	m.groups[bucket/m.opt.Groups] ^= diff
 	m.root ^= diff
 }
 
