--- /dev/null
+++ b/internal/confsync/events.go
@@ -0,0 +1,101 @@
+// Package confsync holds the core by which each balancer keeps the decision
+// files: which balancers watch the store, how files spread between balancers,
+// and when a restarted balancer has the state. No file goes back to an older
+// version; see Sync for the rule and its limit.
+package confsync
+
+import (
+	"net/netip"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/gossip"
+	"github.com/bulrushshelf/bulrushshelf/internal/message"
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+)
+
+// Options of a Sync.
+type Options struct {
+	Self gossip.Peer
+	Seed uint64 // of the random choice of peers
+}
+
+// Event is an input of Sync.
+type Event interface{ event() }
+
+// StoreList is the complete answer to a List action: all files as of store
+// version Rev.
+type StoreList struct {
+	Rev   uint64
+	Files []message.File
+}
+
+// StoreEvent is one change reported by a watch; a removal has the version at
+// which the file was removed.
+type StoreEvent struct{ File message.File }
+
+// StoreLost tells that the store does not answer, or that the watch broke.
+type StoreLost struct{}
+
+// StoreBack tells that the store answers again.
+type StoreBack struct{}
+
+// Received is a FileDelta, Digest or Pull of a peer; others are ignored.
+type Received struct {
+	From     model.NodeID
+	FromAddr netip.AddrPort
+	Msg      message.Message
+}
+
+// Pushed is a file that the store accepted, pushed by ctl with its store version.
+type Pushed struct{ File message.File }
+
+// PeersChanged lists the live balancers, see membership.PeersChanged.
+type PeersChanged struct{ Peers []gossip.Peer }
+
+// Tick lets time pass; it is due at least every 50 ms.
+type Tick struct{}
+
+func (StoreList) event()    {}
+func (StoreEvent) event()   {}
+func (StoreLost) event()    {}
+func (StoreBack) event()    {}
+func (Received) event()     {}
+func (Pushed) event()       {}
+func (PeersChanged) event() {}
+func (Tick) event()         {}
+
+// Action is an output of Sync.
+type Action interface{ action() }
+
+// List asks for one listing of all files.
+type List struct{}
+
+// Watch asks for all changes after store version From, until Unwatch or StoreLost.
+type Watch struct{ From uint64 }
+
+// Unwatch ends the watch.
+type Unwatch struct{}
+
+// Send sends a message to a peer.
+type Send struct {
+	To   model.NodeID
+	Addr netip.AddrPort
+	Msg  message.Message
+}
+
+// FilesChanged lists files that are in force now in another version than before,
+// in order of their names; removed ones are marked. Rev is the newest version held.
+type FilesChanged struct {
+	Files []message.File
+	Rev   uint64
+}
+
+// Ready tells once that the balancer has the state. The FilesChanged before it
+// holds all files; none is given earlier.
+type Ready struct{}
+
+func (List) action()         {}
+func (Watch) action()        {}
+func (Unwatch) action()      {}
+func (Send) action()         {}
+func (FilesChanged) action() {}
+func (Ready) action()        {}
