membership: shorten a cold start and test crashes, restarts and lost data centres

A fleet that starts together waited 5 s for a peer that has the state; 2 s cover some 30 tries. Peers are reported only after the join, so that confsync does not count a partial list. Simulated: no false suspicion in 10 minutes (33 members), a crash is suspect after 2.8 s and gone 10 s later, a data centre that dies as a whole is marked after 8.3 s, and agents stay active when all their observers die.

--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -20,6 +20,7 @@
 	seeds     []netip.AddrPort
 	balancers []*balancer
 	agents    []*agent
+	changes   func(at *balancer, m model.Member) // observes MembersChanged
 }
 
 type balancer struct {
@@ -64,7 +65,7 @@
 	b.joined = false
 	b.core.Step(f.now, membership.Services{Services: []membership.ServiceConfig{{Service: service}}})
 	b.host = &host{id: self.ID, dc: self.DC, addr: self.PeerAddr, step: func(now time.Time, in *packet) []packet {
-		return b.handle(b.core.Step(now, event(in)))
+		return f.handle(b, b.core.Step(now, event(in)))
 	}}
 	f.add(b.host)
 	b.host = f.byAddr[b.addr]
@@ -90,10 +91,17 @@
 	return membership.Received{From: in.from, FromAddr: in.src, Msg: in.msg}
 }
 
-func (b *balancer) handle(actions []membership.Action) []packet {
+func (f *fleet) handle(b *balancer, actions []membership.Action) []packet {
 	for _, a := range actions {
-		if _, ok := a.(membership.Joined); ok {
+		switch a := a.(type) {
+		case membership.Joined:
 			b.joined = true
+		case membership.MembersChanged:
+			for _, m := range a.Members {
+				if f.changes != nil {
+					f.changes(b, m)
+				}
+			}
 		}
 	}
 	return sends(actions)
@@ -179,7 +187,8 @@
 	f := newFleet(1, 12, 9)
 	f.settle(t)
 	f.setCut("dc-c", dcs, true)
-	is.NoErr(f.run(3*time.Minute, f.noneGone))
+	fault := f.watchRemovals()
+	is.NoErr(f.run(3*time.Minute, fault))
 	for _, b := range f.balancers {
 		for _, a := range f.agents {
 			m, _ := b.core.Member(a.id)
@@ -192,16 +201,16 @@
 	t.Logf("all active %v after the cut ended", took)
 }
 
-// noneGone reports members that a live balancer does not hold although they run.
-func (f *fleet) noneGone() error {
-	for _, b := range f.balancers {
-		for _, a := range f.agents {
-			if _, ok := b.core.Member(a.id); !ok && !a.down && !b.down {
-				return fmt.Errorf("%s removed %s, which runs", b.id, a.id)
-			}
+// watchRemovals returns a function that reports the first member that a balancer
+// removed although it runs.
+func (f *fleet) watchRemovals() func() error {
+	var fault error
+	f.changes = func(at *balancer, m model.Member) {
+		if m.State == model.StateGone && !f.byAddr[m.PeerAddr].down {
+			fault = fmt.Errorf("%s removed %s, which runs", at.id, m.ID)
 		}
 	}
-	return nil
+	return func() error { return fault }
 }
 
 func (f *fleet) allActive() bool {
@@ -212,3 +221,122 @@
 	}
 	return true
 }
+
+// Guards against members that are suspected or removed although they run, and
+// against crashes that go unnoticed.
+func TestHistoryOnlyCrashesAreRemoved(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, 12, 21)
+	f.settle(t)
+	suspected, crashed := 0, f.agents[4]
+	fault := f.watchRemovals()
+	removals := f.changes
+	f.changes = func(at *balancer, m model.Member) {
+		removals(at, m)
+		if m.State == model.StateSuspect && !crashed.down {
+			suspected++
+		}
+	}
+	is.NoErr(f.run(10*time.Minute, fault))
+	crashed.down = true
+	took, err := f.until(6*time.Second, func() bool { return f.everywhere(crashed.id, model.StateSuspect, "") })
+	is.NoErr(err)
+	gone, err := f.until(12*time.Second, func() bool { return f.everywhere(crashed.id, model.StateGone, "") })
+	is.NoErr(err)
+	is.NoErr(fault())
+	t.Logf("10 minutes: %d false suspicions; crash: suspect after %v, gone %v later", suspected, took, gone)
+}
+
+// Guards against the record of an earlier life that hides a restarted member,
+// and against a member whose clock went back and that nobody hears.
+func TestHistoryRestartReplacesTheRecord(t *testing.T) {
+	for _, boot := range []time.Duration{30 * time.Second, -time.Hour} {
+		t.Run(boot.String(), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(3, 12, 6)
+			f.settle(t)
+			before, _ := f.balancers[0].core.Member(f.agents[2].id)
+			f.startAgent(f.agents[2], 2, epoch.Add(boot))
+			f.startBalancer(f.balancers[4], 4, epoch.Add(boot))
+			took, err := f.until(4*time.Second, func() bool {
+				for _, b := range f.balancers {
+					a, _ := b.core.Member(f.agents[2].id)
+					o, _ := b.core.Member(f.balancers[4].id)
+					if a.Incarnation <= before.Incarnation || a.State != model.StateActive || o.Incarnation <= before.Incarnation {
+						return false
+					}
+				}
+				return f.complete()
+			})
+			is.NoErr(err)
+			t.Logf("balancer joined and all know the new lives after %v", took)
+		})
+	}
+}
+
+// Guards against agents that are suspected because their observers restart, and
+// against agents that keep an old slice because their observers are gone.
+func TestFaultObserversDieTogether(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4, 24, 6)
+	f.settle(t)
+	f.changes = func(at *balancer, m model.Member) {
+		if m.ID == f.agents[0].id && m.State != model.StateActive {
+			t.Errorf("%v: %s holds %s as %v", f.now.Sub(epoch), at.id, m.ID, m.State)
+		}
+	}
+	is.NoErr(f.run(5*time.Second, nil)) // until the agent has the whole list of balancers
+	heard := map[netip.AddrPort]bool{}
+	f.sent = func(p packet) {
+		if _, ok := p.msg.(message.Heartbeat); ok && p.from == f.agents[0].id {
+			heard[p.dst] = true
+		}
+	}
+	is.NoErr(f.run(2*time.Second, nil))
+	is.Equal(len(heard), 3)
+	for _, b := range f.balancers {
+		b.down = heard[b.addr]
+	}
+	is.NoErr(f.run(30*time.Second, nil))
+	leaving := f.agents[3]
+	f.send(leaving.host, leaving.handle(leaving.core.Step(f.now, membership.Leave{})))
+	_, err := f.until(2*time.Second, func() bool {
+		for _, a := range f.agents {
+			if a.slice.View.Members[3].State != model.StateLeaving {
+				return false
+			}
+		}
+		return true
+	})
+	is.NoErr(err)
+}
+
+// Guards against new work for the members of a data centre that died as a whole,
+// where nobody is left to suspect them, and against their removal.
+func TestFaultWholeDataCentreDies(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5, 24, 9)
+	f.settle(t)
+	down := func(v bool) {
+		for _, h := range f.hosts {
+			h.down = v && h.dc == "dc-b"
+		}
+	}
+	down(true)
+	marked := func(want model.State) bool {
+		for _, a := range f.agents {
+			if a.dc == "dc-b" && !f.everywhere(a.id, want, "dc-b") {
+				return false
+			}
+		}
+		return true
+	}
+	took, err := f.until(15*time.Second, func() bool { return marked(model.StateSuspect) })
+	is.NoErr(err)
+	is.NoErr(f.run(time.Minute, nil))
+	is.True(marked(model.StateSuspect))
+	down(false)
+	back, err := f.until(10*time.Second, f.allActive)
+	is.NoErr(err)
+	t.Logf("marked after %v, active %v after contact returned", took, back)
+}
--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -136,7 +136,9 @@
 // is given when the number changes.
 type Contact struct{ Observers int }
 
-// PeersChanged lists the live balancers, this one included, for package confsync.
+// PeersChanged lists the live balancers, this one included, for package
+// confsync. The first follows Joined: a partial list would let a starting node
+// take the state of too few peers.
 type PeersChanged struct{ Peers []gossip.Peer }
 
 func (Send) action()           {}
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -8,10 +8,10 @@
 
 const (
 	joinPeers = 2 // peers whose whole state a joining balancer must hold
-	// Without a peer that has the state, a balancer serves after joinAlone: all
-	// balancers start together. With one, it serves after joinLate although the
+	// Without a peer that has the state, a balancer serves after joinAlone, some 30
+	// tries at an answer: all balancers start together. With one, it serves after joinLate although the
 	// state never was equal at one instant.
-	joinAlone = 5 * time.Second
+	joinAlone = 2 * time.Second
 	joinLate  = 15 * time.Second
 	// A data centre cut in two forgets the balancers of the other half; the seeds
 	// bring the halves together again.
@@ -49,6 +49,7 @@
 	o.joined = true
 	o.repair.Done()
 	o.announceAgain()
+	o.regroup = true // reports the peers
 	o.out = append(o.out, Joined{})
 }
 
--- a/internal/membership/observer.go
+++ b/internal/membership/observer.go
@@ -318,5 +318,7 @@
 		o.rewatch(m)
 	}
 	o.dirtyAll()
-	o.out = append(o.out, PeersChanged{Peers: o.peers.All()})
+	if o.joined {
+		o.out = append(o.out, PeersChanged{Peers: o.peers.All()})
+	}
 }
