--- a/internal/flows/core.go
+++ b/internal/flows/core.go
@@ -129,6 +129,9 @@
 	}
 }
 
+// Held returns the number of flows held.
+func (c *Core) Held() int { return c.held.size }
+
 // Step handles one event and returns what to do, in order. The slice is valid
 // until the next call. now must not decrease.
 func (c *Core) Step(now time.Time, ev Event) []Action {
--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -71,6 +71,17 @@
 type Services struct {
 	FileRev  uint64
 	Services []ServiceConfig
+	// The decisions about data centres and targets. They change how this node and
+	// the agents treat an agent; the record that spreads stays as announced.
+	DataCentres map[model.DataCentre]Override
+	Targets     map[model.NodeID]Override
+}
+
+// Override is what the configuration says about an agent. Weight multiplies the
+// announced one.
+type Override struct {
+	Weight float64
+	Drain  bool
 }
 
 // ServiceConfig is the configuration of one service.
--- a/internal/membership/observer.go
+++ b/internal/membership/observer.go
@@ -95,6 +95,7 @@
 	if m.State < model.StateSuspect && o.contacts.unreachable(m.DC) {
 		m.State = model.StateSuspect
 	}
+	o.services.override(&m)
 	return m
 }
 
@@ -113,8 +114,7 @@
 	case Received:
 		o.received(e)
 	case Services:
-		o.services.set(e)
-		o.dirtyAll()
+		o.setServices(e)
 	case SelfChanged:
 		o.beat.self.State, o.beat.self.Weight = max(e.State, model.StateActive), e.Weight
 		o.selfChanged()
--- a/internal/membership/slices.go
+++ b/internal/membership/slices.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/gossip"
@@ -21,6 +22,8 @@
 	fileRev uint64
 	config  map[model.ServiceName]ServiceConfig
 	members map[model.ServiceName][]model.NodeID // in order
+	dcs     map[model.DataCentre]Override
+	targets map[model.NodeID]Override
 }
 
 func newServiceTable() serviceTable {
@@ -33,6 +36,49 @@
 	for _, c := range e.Services {
 		t.config[c.Service] = c
 	}
+	t.dcs, t.targets = e.DataCentres, e.Targets
+}
+
+// override applies the decisions about an agent's data centre and target.
+func (t *serviceTable) override(m *model.Member) {
+	if m.Kind != model.KindAgent {
+		return
+	}
+	apply := func(ov Override, decided bool) {
+		if !decided {
+			return
+		}
+		m.Weight *= ov.Weight
+		if ov.Drain && m.State == model.StateActive {
+			m.State = model.StateLeaving
+		}
+	}
+	dc, ok := t.dcs[m.DC]
+	apply(dc, ok)
+	target, ok := t.targets[m.Target()]
+	apply(target, ok)
+}
+
+// setServices takes over a configuration and reports the agents that it makes
+// this node treat differently.
+func (o *Observer) setServices(e Services) {
+	olds := o.services
+	o.services.set(e)
+	o.dirtyAll()
+	if maps.Equal(olds.dcs, e.DataCentres) && maps.Equal(olds.targets, e.Targets) {
+		return
+	}
+	for rec := range o.members.All() {
+		if rec.Value.kind != model.KindAgent {
+			continue
+		}
+		before, after := unpack(rec), unpack(rec)
+		olds.override(&before)
+		o.services.override(&after)
+		if before.State != after.State || before.Weight != after.Weight {
+			o.changed = append(o.changed, after.ID)
+		}
+	}
 }
 
 func (t *serviceTable) memberChanged(m model.Member) {
@@ -102,6 +148,7 @@
 			s.View.Members = append(s.View.Members, m)
 		}
 	}
+	s.AllBalancers = o.peers.Count() <= allBalancers
 	for _, p := range o.sliceBalancers(agent) {
 		if m, ok := o.Member(p.ID); ok {
 			s.Balancers = append(s.Balancers, model.Member{
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -39,8 +39,11 @@
 type Slice struct {
 	View      model.ServiceView
 	Balancers []model.Member
-	Digest    uint64
-	FileRev   uint64
+	// AllBalancers is set when Balancers lists every live balancer. Above a few
+	// dozen it lists only those of the agent's data centre that it should use.
+	AllBalancers bool
+	Digest       uint64
+	FileRev      uint64
 }
 
 // MemberDelta spreads changed member records. Contacts stay within one data centre.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -181,6 +182,14 @@
 	HeldAddrs []ServiceAddr `cbor:"15,keyasint,omitzero"`
 }
 
+// Target returns the name of the target that an agent serves: its NodeID up to
+// the first slash. Agents of one target that run side by side during a
+// replacement differ by what follows the slash.
+func (m Member) Target() NodeID {
+	target, _, _ := strings.Cut(string(m.ID), "/")
+	return NodeID(target)
+}
+
 // Newer reports whether m replaces old.
 func (m Member) Newer(old Member) bool {
 	if m.Incarnation != old.Incarnation {
