--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,229 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/message"
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/packet"
+	"github.com/bulrushshelf/bulrushshelf/internal/strategy/hrw"
+	"github.com/bulrushshelf/bulrushshelf/internal/strategy/warmup"
+)
+
+func ackOf(i uint32) *packet.Info {
+	src := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(i >> 24), byte(i >> 16), byte(i >> 8)}), uint16(i)|1024)
+	return &packet.Info{ACK: true, Flow: model.Flow{Src: src, Dst: addr("10.80.0.1:80").Addr, Proto: model.TCP}}
+}
+
+// Guards against a balancer that ranks otherwise than the agents, which makes
+// every opening slow: homes and fingerprints must be those of the warmed-up
+// view, for equal and for other weights and at every time of a warm-up.
+func TestHomesAreThoseOfTheWarmedUpView(t *testing.T) {
+	is := is.New(t)
+	for _, weight := range []float64{1, 2.5} {
+		v := view([]string{"dispatch", "addr=10.80.0.1:80", "member=d3", "member=d1", "member=d2,leaving", "member=d4"})
+		v.Members[0].Weight = weight
+		v.Members[1].Started = start.Add(-5 * time.Second)
+		v.Policy.Warmup = 30 * time.Second
+		r := New(Options{})
+		r.SetView(start, v)
+		model.SortMembers(v.Members)
+		for age := time.Duration(0); age < 40*time.Second; age += 500 * time.Millisecond {
+			now := start.Add(age)
+			want, _ := warmup.View(v, now)
+			var cands []hrw.Candidate
+			for _, m := range want.Members {
+				if m.State != model.StateActive {
+					m.Weight = 0
+				}
+				cands = append(cands, hrw.Candidate{ID: model.HashString(string(m.ID)), Weight: m.Weight})
+			}
+			for i := range uint32(50) {
+				p := ackOf(i * 7919)
+				d := r.Route(now, p)
+				is.Equal(d.ViewHash, want.Fingerprint())
+				is.Equal(d.To, want.Members[hrw.First(p.Flow.Hash(), cands)].ID)
+			}
+		}
+	}
+}
+
+// world plays random views, moves, hints and answers of three services and four
+// addresses, and knows where each packet may go.
+type world struct {
+	t         *testing.T
+	seed      uint64
+	rnd       *rand.Rand
+	r         *Router
+	now       time.Time
+	owner     [4]int // service by address; 3 for none
+	left      [4][3]time.Time
+	announced [4][3]bool
+	waiting   map[Ref]int // address by packet
+	asked     int
+	released  int
+}
+
+// check fails the test for a packet that must not go where it is sent.
+func (w *world) check(at int, opening bool, d Decision) {
+	if d.Verdict != Forward {
+		return
+	}
+	s := int(d.Service[1] - '0')
+	former := !opening && (w.announced[at][s] || w.now.Sub(w.left[at][s]) < DefaultMoveWindow)
+	if d.To[:2] != model.NodeID(d.Service) || s != w.owner[at] && !former {
+		w.t.Fatalf("seed %d: packet on address %d of service %d sent to %s of %s", w.seed, at, w.owner[at], d.To, d.Service)
+	}
+}
+
+func (w *world) setView(s int) {
+	words := []string{fmt.Sprint("s", s)}
+	for a, o := range w.owner {
+		if o == s {
+			words = append(words, fmt.Sprintf("addr=10.80.0.%d:80", a))
+		}
+	}
+	for m := range 3 {
+		word := fmt.Sprintf("member=s%dm%d,%s", s, m, []string{"active", "leaving", "suspect", "gone"}[w.rnd.IntN(4)])
+		for a := range w.owner {
+			if w.announced[a][s] && m == 0 {
+				word = fmt.Sprintf("member=s%dm0,leaving,10.80.0.%d:80", s, a)
+			}
+		}
+		words = append(words, word)
+	}
+	w.r.SetView(w.now, view(words))
+}
+
+// move gives an address to a service, sometimes.
+func (w *world) move(at, s int) {
+	old := w.owner[at]
+	if old == s || w.rnd.IntN(10) != 0 {
+		return
+	}
+	w.owner[at] = s
+	w.setView(s)
+	if old < 3 {
+		w.left[at][old] = w.now
+		w.setView(old)
+	}
+}
+
+// route sends a packet and returns the actions if it has to wait.
+func (w *world) route(at int, f model.Flow) []Action {
+	opening := w.rnd.IntN(3) == 0
+	d := w.r.Route(w.now, &packet.Info{Flow: f, SYN: opening, ACK: !opening})
+	w.check(at, opening, d)
+	if d.Verdict != Ask {
+		return nil
+	}
+	w.asked++
+	w.waiting[Ref(w.asked)] = at
+	return w.r.Step(w.now, Waiting{Ref(w.asked), f})
+}
+
+func (w *world) step() {
+	w.now = w.now.Add(time.Duration(w.rnd.IntN(200)) * time.Millisecond)
+	at, s := w.rnd.IntN(4), w.rnd.IntN(3)
+	f := flow(fmt.Sprint(1024+w.rnd.IntN(6)), fmt.Sprintf("10.80.0.%d:80", at), "")
+	from := model.NodeID(fmt.Sprintf("s%dm%d", s, w.rnd.IntN(3)))
+	var acts []Action
+	switch w.rnd.IntN(8) {
+	case 0:
+		w.move(at, s)
+	case 1:
+		for a := range w.owner { // at most one address, as the words of a view allow
+			w.announced[a][s] = a == at && w.rnd.IntN(2) == 0
+		}
+		w.setView(s)
+	case 2:
+		acts = w.r.Step(w.now, FlowHint{from, message.FlowHint{Flow: f, Holder: from}})
+	case 3:
+		acts = w.r.Step(w.now, Tick{})
+	case 4:
+		acts = w.r.Step(w.now, FlowAnswer{from, message.FlowAnswer{ID: w.r.asks.lastID, Flow: f,
+			Verdict: message.Verdict(1 + w.rnd.IntN(2)), Holder: from}})
+	default:
+		acts = w.route(at, f)
+	}
+	for _, a := range acts {
+		if rel, ok := a.(Release); ok {
+			w.released++
+			w.check(w.waiting[rel.Ref], false, rel.Decision)
+		}
+	}
+}
+
+// Guards against a packet that reaches a target of a service that neither owns
+// the address, nor announced it, nor owned it within the move window; opening
+// packets may go to the owner only. Also guards against a packet that waits
+// forever or is released twice.
+func TestNoPacketReachesAnotherService(t *testing.T) {
+	for seed := range uint64(20) {
+		w := world{t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), now: start, owner: [4]int{3, 3, 3, 3},
+			r: New(Options{HintCapacity: 64, MaxAsks: 4, MaxWaiting: 8}), waiting: map[Ref]int{}}
+		for range 3000 {
+			w.step()
+			if w.asked-w.released != w.r.WaitingPackets() {
+				t.Fatalf("seed %d: %d packets asked about, %d released, %d waiting", seed, w.asked, w.released, w.r.WaitingPackets())
+			}
+		}
+		if w.asked == 0 || w.released == 0 {
+			t.Fatalf("seed %d asked about nothing", seed)
+		}
+	}
+}
+
+// Guards against an allocation for a packet, also when a warm-up step passes or
+// the address was moved.
+func TestRouteDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{})
+	v := view([]string{"dispatch", "addr=10.80.0.1:80", "member=d1", "member=d2", "member=d3"})
+	v.Members[0].Started, v.Policy.Warmup = start, 30*time.Second
+	r.SetView(start, v)
+	r.SetView(start, view([]string{"intake", "addr=10.80.0.2:80", "member=w1"}))
+	now := start
+	run := func(p *packet.Info, want Verdict) {
+		is.Equal(testing.AllocsPerRun(100, func() {
+			now = now.Add(200 * time.Millisecond)
+			is.Equal(r.Route(now, p).Verdict, want)
+		}), 0.0)
+	}
+	run(ackOf(1), Forward)
+	r.SetView(now, view([]string{"intake", "addr=10.80.0.1:80", "member=w1"}))
+	run(ackOf(1), Ask)
+}
+
+// Guards against a hint table above 64 bytes a flow, or one that keeps so few
+// of the flows it is made for that hints are useless.
+func TestHintTableSize(t *testing.T) {
+	is := is.New(t)
+	for _, flows := range []int{1000, 32_500, 400_000} {
+		table := newHintTable(flows)
+		is.True(len(table.places)*hintSize <= 64*flows)
+		for i := range flows {
+			table.put(model.Mix(uint64(i)), 1, start.Add(time.Duration(i)))
+		}
+		kept := 0
+		for i := range flows {
+			if table.get(model.Mix(uint64(i))) != nil {
+				kept++
+			}
+		}
+		is.True(kept*100 >= flows*95)
+	}
+	table := newHintTable(hintWays * 2 / 3) // one set: the oldest is replaced
+	for i := range uint64(hintWays + 1) {
+		table.put(i+1, 1, start.Add(time.Duration(i)))
+	}
+	is.Equal(slices.IndexFunc(table.places, func(h hint) bool { return h.flow == 1 }), -1)
+	is.True(table.get(2) != nil)
+}
