route: leave warm-up steps out of the view fingerprint

Cause: balancers hashed the warmed-up weights, agents (package placement) the announced ones, so during each warm-up every opening packet took the slow path. Conclusion: one definition of the fingerprint.

--- /dev/null
+++ b/internal/balancer/views.go
@@ -0,0 +1,103 @@
+package balancer
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/config"
+	"github.com/bulrushshelf/bulrushshelf/internal/confsync"
+	"github.com/bulrushshelf/bulrushshelf/internal/membership"
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+)
+
+// memberChanged takes over one record and marks the views that contain it.
+func (c *Core) memberChanged(m model.Member) {
+	old, known := c.members[m.ID]
+	if known && old.Service != m.Service {
+		c.removeAgent(old)
+	}
+	if m.State == model.StateGone {
+		c.removeAgent(old)
+		delete(c.members, m.ID)
+		return
+	}
+	c.members[m.ID] = m
+	if m.Kind != model.KindAgent {
+		return
+	}
+	ids := c.agents[m.Service]
+	if i, held := slices.BinarySearch(ids, m.ID); !held {
+		c.agents[m.Service] = slices.Insert(ids, i, m.ID)
+	}
+	c.changed[m.Service] = struct{}{}
+}
+
+func (c *Core) removeAgent(m model.Member) {
+	if m.Kind != model.KindAgent {
+		return
+	}
+	ids := c.agents[m.Service]
+	if i, held := slices.BinarySearch(ids, m.ID); held {
+		c.agents[m.Service] = slices.Delete(ids, i, i+1)
+	}
+	if len(c.agents[m.Service]) == 0 {
+		delete(c.agents, m.Service)
+	}
+	c.changed[m.Service] = struct{}{}
+}
+
+// filesChanged merges the changed files into the configuration in force.
+func (c *Core) filesChanged(a confsync.FilesChanged) {
+	changes := make([]config.FileChange, 0, len(a.Files))
+	for _, f := range a.Files {
+		changes = append(changes, config.FileChange{Name: f.Name, Content: f.Content, Removed: f.Removed})
+	}
+	next, diff := c.snapshot.Update(changes)
+	c.snapshot, c.rev = next, a.Rev
+	for _, s := range diff.Services {
+		c.changed[s] = struct{}{}
+	}
+	c.out = append(c.out, ConfigChanged{Rev: a.Rev, Services: len(next.Services()), Findings: next.Findings()})
+	c.observe(c.servicesEvent())
+}
+
+// servicesEvent gives the membership core what the slices of agents contain.
+func (c *Core) servicesEvent() membership.Services {
+	ev := membership.Services{
+		FileRev:     c.rev,
+		DataCentres: make(map[model.DataCentre]membership.Override),
+		Targets:     make(map[model.NodeID]membership.Override),
+	}
+	for _, name := range c.snapshot.Subjects(config.KindDataCentre) {
+		dc := model.DataCentre(name)
+		ev.DataCentres[dc] = membership.Override(c.snapshot.DataCentre(dc))
+	}
+	for _, name := range c.snapshot.Subjects(config.KindTarget) {
+		id := model.NodeID(name)
+		ev.Targets[id] = membership.Override(c.snapshot.Target(id))
+	}
+	for _, s := range c.snapshot.Services() {
+		ev.Services = append(ev.Services, membership.ServiceConfig{Service: s.Name, Addrs: s.Addresses, Policy: s.Policy})
+	}
+	return ev
+}
+
+// rebuildViews gives the router the views that changed, in order of their names.
+func (c *Core) rebuildViews() {
+	if !c.serving || len(c.changed) == 0 {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.changed)) {
+		s, configured := c.snapshot.Service(name)
+		if !configured {
+			c.router.RemoveService(c.now, name)
+			continue
+		}
+		view := model.ServiceView{Service: name, Addrs: s.Addresses, Policy: s.Policy}
+		for _, id := range c.agents[name] {
+			view.Members = append(view.Members, c.members[id])
+		}
+		c.router.SetView(c.now, view)
+	}
+	clear(c.changed)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -100,7 +100,6 @@
 	held     map[*service][]heldAddr
 	hints    hintTable
 	asks     asks
-	scratch  []model.Member // for fingerprints
 }
 
 // New returns a router without services; it drops every packet until it has views.
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -53,6 +53,9 @@
 		s.members[i] = member{id: m.ID, hash: model.HashString(string(m.ID)), state: m.State}
 	}
 	s.ramp = &ramp{view: v}
+	listed := v
+	listed.Members = slices.DeleteFunc(slices.Clone(v.Members), func(m model.Member) bool { return m.State == model.StateGone })
+	s.fingerprint = listed.Fingerprint()
 	r.rank(now, s)
 }
 
@@ -63,12 +66,12 @@
 	}
 }
 
-// rank computes the effective weights and the fingerprint, as warmup.View does.
-// It reuses r.scratch, so that Route does not allocate when a step passes.
+// rank computes the effective weights. The fingerprint does not cover them, see
+// package placement: agents compare it with theirs, and nodes whose clocks
+// differ take a step of a warm-up at different times.
 func (r *Router) rank(now time.Time, s *service) {
 	v := s.ramp.view
 	var next time.Time
-	r.scratch = r.scratch[:0]
 	s.uniform = true
 	first := -1
 	for i, full := range v.Members {
@@ -76,7 +79,6 @@
 			next = t
 		}
 		full.Weight = warmup.EffectiveWeight(full, v.Policy, now)
-		r.scratch = append(r.scratch, full)
 		m := &s.members[i]
 		m.weight = full.Weight
 		if m.rankable() {
@@ -86,9 +88,6 @@
 			s.uniform = s.uniform && m.weight == s.members[first].weight
 		}
 	}
-	v.Members = r.scratch
-	s.fingerprint = v.Fingerprint()
-	clear(r.scratch) // holds no names of members that are gone
 	if next.IsZero() {
 		s.ramp = nil
 	} else {
--- a/internal/strategy/warmup/warmup.go
+++ b/internal/strategy/warmup/warmup.go
@@ -37,23 +37,6 @@
 	return m.Started.Add(stepStart(k+1, p.Warmup))
 }
 
-// View returns v with the members' effective weights, which is the view to rank
-// by and to take the fingerprint of, and the time of its next change (zero if
-// there is none). It shares no member slice with v.
-func View(v model.ServiceView, now time.Time) (model.ServiceView, time.Time) {
-	var next time.Time
-	members := make([]model.Member, len(v.Members))
-	for i, m := range v.Members {
-		if t := NextStep(m, v.Policy, now); !t.IsZero() && (next.IsZero() || t.Before(next)) {
-			next = t
-		}
-		members[i] = m
-		members[i].Weight = EffectiveWeight(m, v.Policy, now)
-	}
-	v.Members = members
-	return v, next
-}
-
 // step returns the number of steps taken, Steps after the warm-up. A start in
 // the future, as a clock that is ahead announces it, counts as just now.
 func step(started time.Time, warmup time.Duration, now time.Time) int {
