Return no codec when the keys are refused

Cause: New returned a codec without keys next to the error, which would panic on use. Change: nil with the error. Measured: wire tests pass.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -122,7 +122,10 @@
 	c := &Codec{self: o.Self, enc: enc, dec: dec, replay: newReplayTable(o.MaxSenders)}
 	c.buffers.New = func() any { return new(bytes.Buffer) }
 	c.incarnation.Store(uint64(o.Incarnation))
-	return c, c.SetKeys(o.Keys)
+	if err := c.SetKeys(o.Keys); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return c, nil
 }
 
 // Format implements fmt.Formatter, so that no verb prints the keys.
