message: let a home of keys pull records, and name two more verdicts

A new home pulls the records of a bucket of keys after its view settled, so the sender keeps no state about receivers. KeyCopy comes in parts that fit a datagram. KeyNoted lets a home without coverage store a record while another one vouches for the key; KeyFull refuses instead of forgetting.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -197,6 +197,11 @@
 	KeyUnknown
 	// KeyRetry: the views of asker and home differ; ask again shortly.
 	KeyRetry
+	// KeyNoted: the record stands, but the home's coverage does not reach back to
+	// the key's age. The request may run if another home granted.
+	KeyNoted
+	// KeyFull: the home has no room for a record; the key's request did not run.
+	KeyFull
 )
 
 // Answer is a stored answer to a keyed request.
@@ -227,7 +232,7 @@
 	Answer  *Answer
 }
 
-// KeyDoneAck acknowledges a KeyDone or a KeyCopy.
+// KeyDoneAck acknowledges a KeyDone.
 type KeyDoneAck struct {
 	ID uint64
 }
@@ -258,6 +263,7 @@
 // KeyRecord is a key's record as copied between homes.
 type KeyRecord struct {
 	Key         string
+	ID          uint64 // of the runner's KeyBegin
 	Fingerprint uint64
 	Runner      model.NodeID
 	Incarnation model.Incarnation // of the runner
@@ -266,14 +272,33 @@
 	Recorded    time.Time
 }
 
-// KeyCopy copies records to a new home after a view change.
+// KeyPull asks an agent for the records of key buckets that the sender is a
+// home of now.
+type KeyPull struct {
+	ID       uint64
+	Service  model.ServiceName
+	ViewHash uint64
+	Buckets  []uint16
+}
+
+// KeyCoverage says since when an agent knows every key of some buckets. The
+// zero time stands for always.
+type KeyCoverage struct {
+	Since   time.Time
+	Buckets []uint16
+}
+
+// KeyCopy answers a KeyPull in one or more parts.
 type KeyCopy struct {
 	ID      uint64
 	Service model.ServiceName
+	Part    int // from 0
+	Parts   int
 	Records []KeyRecord
-	// Covers is the time since which the sender knows every record of the
-	// copied range; the receiver's coverage reaches back as far.
-	Covers time.Time
+	// Answered lists the buckets that this answer is about, Covers those of them
+	// that the sender covers. Both are in the last part.
+	Answered []uint16
+	Covers   []KeyCoverage
 }
 
 // Probe tests one path between two nodes; ProbeAck answers it over the same path.
@@ -310,6 +335,7 @@
 func (KeyReply) peerMessage()     {}
 func (KeyDone) peerMessage()      {}
 func (KeyDoneAck) peerMessage()   {}
+func (KeyPull) peerMessage()      {}
 func (KeyCopy) peerMessage()      {}
 func (Probe) peerMessage()        {}
 func (ProbeAck) peerMessage()     {}
