--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -224,6 +224,9 @@
 		c.members[m.ID] = m
 	}
 	c.complete = len(s.Balancers) > 0 && s.AllBalancers
+	if s.FileRev == 0 {
+		return // the observer has no configuration yet
+	}
 	c.flowStep(flows.ViewChanged{View: s.View})
 	c.out = append(c.out, ViewChanged{View: s.View})
 	if self, ok := c.members[c.announcer.Self().ID]; ok {
--- /dev/null
+++ b/internal/demo/traffic.go
@@ -0,0 +1,200 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/front"
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/standin/caller"
+)
+
+const (
+	feedsPerHost    = 20
+	workersPerHost  = 2
+	feedInterval    = 100 * time.Millisecond
+	uploadSize      = 60_000
+	uploadEvery     = 5 // of a worker's requests, one is an upload
+	workerPause     = 40 * time.Millisecond
+	requestTimeout  = 20 * time.Second
+	maxSends        = 8
+	resendPause     = 250 * time.Millisecond
+	requestDeadline = "8000"
+)
+
+// traffic runs the callers and keeps what they saw.
+type traffic struct {
+	c    *Cluster
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	feedsOpen, feedsOpened, feedsBroken  atomic.Int64
+	requests, uploads, sends, unfinished atomic.Int64
+
+	mu      sync.Mutex
+	refused map[string]int
+	broken  []string
+	keys    map[string]keyResult
+	callers []*caller.Caller
+}
+
+// keyResult is what the caller of a key knows in the end.
+type keyResult struct {
+	service model.ServiceName
+	outcome string
+}
+
+func startTraffic(c *Cluster) (*traffic, error) {
+	ctx, stop := context.WithCancel(c.ctx)
+	t := &traffic{c: c, stop: stop, refused: map[string]int{}, keys: map[string]keyResult{}}
+	addr := netip.MustParseAddr("10.1.0.1")
+	for _, svc := range c.Spec.Services {
+		feeds, workers := svc.Hosts*feedsPerHost, svc.Hosts*workersPerHost
+		for i := range feeds + workers {
+			call, err := caller.New(c.Fabric, addr)
+			if err != nil {
+				return nil, err
+			}
+			addr = addr.Next()
+			t.callers = append(t.callers, call)
+			if i < feeds {
+				t.wg.Go(func() { t.feed(ctx, call, svc) })
+			} else {
+				t.wg.Go(func() { t.work(ctx, call, svc, i%2 == 0) })
+			}
+		}
+	}
+	return t, nil
+}
+
+// end stops the callers and waits for them.
+func (t *traffic) end() {
+	t.stop()
+	t.wg.Wait()
+	for _, c := range t.callers {
+		c.Close()
+	}
+}
+
+func (t *traffic) breakFlow(format string, args ...any) {
+	t.feedsBroken.Add(1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.broken) < 20 {
+		t.broken = append(t.broken, fmt.Sprintf(format, args...))
+	}
+}
+
+// feed holds one feed open to the end and checks that no event is missing.
+func (t *traffic) feed(ctx context.Context, c *caller.Caller, svc ServiceSpec) {
+	url := fmt.Sprintf("http://%s%s?every=%d", svc.Addr, svc.FeedPath, feedInterval.Milliseconds())
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	resp, err := c.Client(false).Do(req)
+	if err != nil {
+		if ctx.Err() == nil {
+			t.breakFlow("feed of %s from %s not opened: %v", svc.Name, c.Addr, err)
+		}
+		return
+	}
+	defer resp.Body.Close()
+	t.feedsOpened.Add(1)
+	t.feedsOpen.Add(1)
+	defer t.feedsOpen.Add(-1)
+	lines := bufio.NewScanner(resp.Body)
+	next := 0
+	for lines.Scan() {
+		line := lines.Text()
+		if line == "" {
+			continue
+		}
+		if want := fmt.Sprintf("data: %d", next); line != want {
+			t.breakFlow("feed of %s from %s: got %q, want %q", svc.Name, c.Addr, line, want)
+			return
+		}
+		next++
+	}
+	if ctx.Err() == nil {
+		t.breakFlow("feed of %s from %s ended after %d events: status %d, %v", svc.Name, c.Addr, next, resp.StatusCode, lines.Err())
+	}
+}
+
+// work sends confirmations and uploads until ctx is done. Each one has a key and
+// is sent again with it while the outcome is open.
+func (t *traffic) work(ctx context.Context, c *caller.Caller, svc ServiceSpec, keepAlive bool) {
+	client := c.Client(keepAlive)
+	client.Timeout = requestTimeout
+	for n := 0; ctx.Err() == nil; n++ {
+		key := uuid.Must(uuid.NewV7()).String()
+		body, path := "step "+key, svc.WorkPath
+		if n%uploadEvery == 0 {
+			body, path = strings.Repeat("x", uploadSize), "/upload"
+			t.uploads.Add(1)
+		}
+		t.requests.Add(1)
+		outcome := t.sendUntilKnown(client, fmt.Sprintf("http://%s%s", svc.Addr, path), key, body)
+		t.mu.Lock()
+		t.keys[key] = keyResult{service: svc.Name, outcome: outcome}
+		t.mu.Unlock()
+		if outcome != "ran" {
+			t.unfinished.Add(1)
+		}
+		time.Sleep(workerPause)
+	}
+}
+
+// sendUntilKnown sends a keyed request until it is known to have run, and
+// returns the outcome of the last answer.
+func (t *traffic) sendUntilKnown(client *http.Client, url, key, body string) string {
+	outcome := "unknown"
+	for range maxSends {
+		t.sends.Add(1)
+		status, got, reason := t.send(client, url, key, body)
+		if status == http.StatusOK {
+			return "ran"
+		}
+		t.mu.Lock()
+		t.refused[reason]++
+		t.mu.Unlock()
+		if got == "unknown" && status != http.StatusConflict && status != 0 {
+			return got // sending again cannot tell more
+		}
+		outcome = got
+		time.Sleep(resendPause)
+	}
+	return outcome
+}
+
+// send sends a request once. A status of 0 means that no answer came.
+func (t *traffic) send(client *http.Client, url, key, body string) (status int, outcome, reason string) {
+	req, _ := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	req.GetBody = nil // the transport must not resend by itself
+	req.Header.Set(front.HeaderIdempotencyKey, key)
+	req.Header.Set(front.HeaderDeadline, requestDeadline)
+	sum := sha256.Sum256([]byte(body))
+	req.Header.Set("Content-Digest", "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "unknown", "no answer"
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, "unknown", "answer cut"
+	}
+	if resp.StatusCode == http.StatusOK && len(body) < uploadSize && strings.TrimSpace(string(answer)) != "confirmed "+body {
+		t.breakFlow("wrong answer to %s: %.60q", key, answer)
+	}
+	return resp.StatusCode, resp.Header.Get(front.HeaderOutcome), resp.Header.Get(front.HeaderReason)
+}
