--- /dev/null
+++ b/internal/flows/sim_test.go
@@ -0,0 +1,305 @@
+package flows
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/placement"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// simAddressWait is above the greatest lag of an agent's view in the histories.
+const simAddressWait = 4500 * time.Millisecond
+
+// sim drives several cores, balancers and callers in virtual time.
+type sim struct {
+	rng       *rand.Rand
+	now       time.Time
+	queue     timers
+	seq       int
+	agents    []*simAgent
+	balancers []*simBalancer
+	callers   map[model.Flow]*caller
+	packets   map[Ref]Packet // not ended yet
+	history   []record
+	counts    map[Reason]int
+	views     []model.ServiceView // the configuration in force, one for each service
+	version   int
+
+	patience            time.Duration // of a caller without progress
+	copies              int           // more copies of each opening packet, within 20 ms
+	loss, dup           float64
+	agentLag, balancLag time.Duration
+	askOpening          bool // balancers ask the holders of a moved address about opening packets too
+}
+
+type simAgent struct {
+	core    *Core
+	member  model.Member
+	down    bool
+	version int
+	held    []model.ServiceAddr // as announced
+	opened  int
+}
+
+type simBalancer struct {
+	id      model.NodeID
+	version int
+	tables  []*placement.Table
+	owner   map[model.ServiceAddr]int
+	moved   map[model.ServiceAddr]time.Time
+}
+
+type caller struct {
+	flow        model.Flow
+	established bool
+	done        bool
+	ends        time.Time
+	sent        int // packets sent so far
+	acked       int // the last of them that a target accepted
+}
+
+type timer struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type timers []timer
+
+func (q timers) Len() int { return len(q) }
+func (q timers) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
+}
+func (q timers) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timers) Push(x any)   { *q = append(*q, x.(timer)) }
+func (q *timers) Pop() any     { x := (*q)[len(*q)-1]; *q = (*q)[:len(*q)-1]; return x }
+
+func addr(n int) model.ServiceAddr {
+	return model.ServiceAddr{Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 80, 0, byte(n)}), 80), Proto: model.TCP}
+}
+
+// newSim starts services of the given numbers of targets, one address each.
+func newSim(seed uint64, targets ...int) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, callers: map[model.Flow]*caller{},
+		packets: map[Ref]Packet{}, counts: map[Reason]int{}, askOpening: true, patience: 20 * time.Second}
+	for i, n := range targets {
+		svc := model.ServiceName(fmt.Sprint("s", i))
+		s.views = append(s.views, model.ServiceView{Service: svc, Addrs: []model.ServiceAddr{addr(i)}, Policy: model.DefaultPolicy()})
+		for range n {
+			s.start(i, epoch.Add(-time.Hour))
+		}
+	}
+	for i := range 3 {
+		b := &simBalancer{id: model.NodeID(fmt.Sprint("b", i)), moved: map[model.ServiceAddr]time.Time{}}
+		for range targets {
+			b.tables = append(b.tables, placement.New(b.id, DefaultSettle))
+		}
+		s.balancers = append(s.balancers, b)
+	}
+	s.publish()
+	s.each(time.Second, func(a *simAgent) { s.step(a, Contact{}) })
+	s.each(50*time.Millisecond, func(a *simAgent) { s.step(a, Tick{}) })
+	return s
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, timer{s.now.Add(d), s.seq, do})
+}
+
+func (s *sim) each(d time.Duration, do func(*simAgent)) {
+	for _, a := range s.agents {
+		do(a)
+	}
+	s.after(d, func() { s.each(d, do) })
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); len(s.queue) > 0 && !s.queue[0].at.After(end); {
+		t := heap.Pop(&s.queue).(timer)
+		s.now = t.at
+		t.do()
+	}
+}
+
+func (s *sim) random(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d) + 1)) }
+
+// start adds an agent; the caller publishes it.
+func (s *sim) start(service int, started time.Time) *simAgent {
+	v := &s.views[service]
+	id := model.NodeID(fmt.Sprintf("%s-%02d", v.Service, len(s.agents)))
+	a := &simAgent{member: model.Member{ID: id, Kind: model.KindAgent, Service: v.Service, Incarnation: 1,
+		State: model.StateActive, Weight: 1, Started: started}}
+	a.core = s.newCore(a.member)
+	s.agents = append(s.agents, a)
+	v.Members = append(slices.Clone(v.Members), a.member)
+	return a
+}
+
+func (s *sim) newCore(m model.Member) *Core {
+	return New(Options{Self: m.ID, Service: m.Service, Seed: s.rng.Uint64(), AddressWait: simAddressWait})
+}
+
+// change edits the member record of an agent; the caller publishes it.
+func (s *sim) change(a *simAgent, edit func(*model.Member)) {
+	edit(&a.member)
+	for i := range s.views {
+		s.views[i].Members = slices.Clone(s.views[i].Members)
+		for j := range s.views[i].Members {
+			if s.views[i].Members[j].ID == a.member.ID {
+				s.views[i].Members[j] = a.member
+			}
+		}
+	}
+}
+
+// publish brings the configuration to each node after a random delay.
+func (s *sim) publish() {
+	s.version++
+	version, views := s.version, slices.Clone(s.views)
+	for _, a := range s.agents {
+		s.after(s.random(s.agentLag), func() {
+			for _, v := range views {
+				if v.Service == a.member.Service && version > a.version {
+					a.version = version
+					s.step(a, ViewChanged{v})
+				}
+			}
+		})
+	}
+	for _, b := range s.balancers {
+		s.after(s.random(s.balancLag), func() {
+			if version > b.version {
+				b.version = version
+				b.apply(s.now, views)
+			}
+		})
+	}
+}
+
+func (b *simBalancer) apply(now time.Time, views []model.ServiceView) {
+	owner := map[model.ServiceAddr]int{}
+	for i, v := range views {
+		b.tables[i].Apply(now, v)
+		for _, a := range v.Addrs {
+			owner[a] = i
+			if old, ok := b.owner[a]; ok && old != i {
+				b.moved[a] = now
+			}
+		}
+	}
+	b.owner = owner
+}
+
+func (s *sim) agent(id model.NodeID) *simAgent {
+	i := slices.IndexFunc(s.agents, func(a *simAgent) bool { return a.member.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return s.agents[i]
+}
+
+func (s *sim) step(a *simAgent, ev Event) {
+
+	if a.down {
+		return
+	}
+	for _, act := range slices.Clone(a.core.Step(s.now, ev)) {
+
+		switch act := act.(type) {
+		case Accept:
+			p := s.end(act.Ref)
+			s.record(recAccept, act.Flow, a)
+			if act.Opened {
+				a.opened++
+				s.record(recOpen, act.Flow, a)
+			}
+			s.accepted(act.Flow, p)
+		case Pass:
+			p := s.end(act.Ref)
+			p.Service, p.ViewHash, p.Hops, p.Assigned, p.From = act.Service, act.ViewHash, act.Hops, act.Assigned, a.member.ID
+			s.deliver(act.To, p)
+		case Drop:
+			s.end(act.Ref)
+			s.counts[act.Reason]++
+		case Reset:
+			s.end(act.Ref)
+			s.finish(act.Flow, recReset, a)
+		case Send:
+			s.network(func() {
+				if to := s.agent(act.To); to != nil {
+					s.step(to, Message{From: a.member.ID, Incarnation: a.member.Incarnation, Msg: act.Msg})
+				}
+			})
+		case HeldAddrs:
+			s.after(s.random(2*time.Second), func() { a.held = act.Addrs })
+		case Count:
+			s.counts[act.Reason]++
+		}
+	}
+}
+
+// network delivers with loss, delay, reordering and duplication.
+func (s *sim) network(do func()) {
+	for n := 0; n == 0 || s.rng.Float64() < s.dup; n++ {
+		delay := time.Millisecond + s.random(4*time.Millisecond)
+		if s.rng.Float64() < s.dup {
+			delay += s.random(300 * time.Millisecond)
+		}
+		if s.rng.Float64() >= s.loss {
+			s.after(delay, do)
+		}
+	}
+}
+
+func (s *sim) deliver(to model.NodeID, p Packet) {
+	s.network(func() {
+		if a := s.agent(to); a != nil && !a.down {
+			s.seq++
+			p.Ref = Ref(s.seq)
+			s.packets[p.Ref] = p
+			s.step(a, p)
+		}
+	})
+}
+
+// end checks that a Ref ends once.
+func (s *sim) end(r Ref) Packet {
+	p, ok := s.packets[r]
+	if !ok {
+		panic(fmt.Sprintf("packet %d ended twice", r))
+	}
+	delete(s.packets, r)
+	return p
+}
+
+// route sends a caller's packet through a random balancer.
+func (s *sim) route(f model.Flow, opening bool) {
+	s.network(func() {
+		b := s.balancers[s.rng.IntN(len(s.balancers))]
+		svc, ok := b.owner[f.ServiceAddr()]
+		if !ok {
+			return
+		}
+		p := Packet{Flow: f, Opening: opening, Hops: 4, From: b.id, Service: s.views[svc].Service, ViewHash: b.tables[svc].Fingerprint()}
+		moved, lately := b.moved[f.ServiceAddr()]
+		for _, a := range s.agents {
+			asks := slices.Contains(a.held, f.ServiceAddr()) || lately && s.now.Sub(moved) < 30*time.Second
+			if asks && (!opening || s.askOpening) && !a.down && a.core.Holds(f) {
+				p.Service = a.member.Service
+				s.deliver(a.member.ID, p)
+				return
+			}
+		}
+		if home := b.tables[svc].Homes(s.now, f.Hash(), 1); len(home) > 0 {
+			s.deliver(home[0], p)
+		}
+	})
+}
