--- /dev/null
+++ b/internal/flows/bench_test.go
@@ -0,0 +1,126 @@
+package flows
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+)
+
+// spread returns max over mean of the flows held by active agents and of the
+// same flows placed by plain rendezvous hash.
+func (s *sim) spread() (held, plain float64) {
+	var byHolder, byHash []float64
+	n := map[model.NodeID]int{}
+	for f, c := range s.callers {
+		if !c.done && c.established {
+			n[s.balancers[0].tables[0].Homes(epoch.Add(time.Hour), f.Hash(), 1)[0]]++
+		}
+	}
+	for _, a := range s.agents {
+		if a.member.State == model.StateActive {
+			byHolder = append(byHolder, float64(a.core.held.size))
+			byHash = append(byHash, float64(n[a.member.ID]))
+		}
+	}
+	return maxOverMean(byHolder), maxOverMean(byHash)
+}
+
+func maxOverMean(xs []float64) float64 {
+	top, sum := 0.0, 0.0
+	for _, x := range xs {
+		top, sum = max(top, x), sum+x
+	}
+	return top * float64(len(xs)) / sum
+}
+
+// quiet starts one service whose callers send only opening packets, with about
+// 2,000 flows that live 30 s on average.
+func quiet(seed uint64, targets int) *sim {
+	s := newSim(seed, targets)
+	s.quiet, s.loss = true, 0.01
+	s.views[0].Policy.Warmup = 10 * time.Second
+	s.publish()
+	s.run(8 * time.Second)
+	s.churn(67, 30*time.Second, 200*time.Second)
+	s.run(90 * time.Second)
+	return s
+}
+
+// BenchmarkImbalance reports max over mean of connections, averaged over 20 s
+// in steady state, and the greatest value from 10 s to 30 s after one drain and
+// one join, against plain rendezvous hash.
+func BenchmarkImbalance(b *testing.B) {
+	for _, targets := range []int{7, 3} {
+		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
+			var steady, plain, top, changed, flows, handed float64
+			for i := range b.N {
+				s := quiet(uint64(i), targets)
+				for range 20 {
+					s.run(time.Second)
+					h, p := s.spread()
+					steady, plain, top = steady+h/20, plain+p/20, max(top, h)
+				}
+				flows += float64(len(s.callers))
+				handed += float64(s.counts[ReasonHandedOver])
+				s.leave(s.agents[0])
+				s.start(0, s.now)
+				s.publish()
+				s.run(10 * time.Second)
+				for range 20 {
+					h, _ := s.spread()
+					changed = max(changed, h)
+					s.run(time.Second)
+				}
+			}
+			n := float64(b.N)
+			b.ReportMetric(steady/n, "steady")
+			b.ReportMetric(top, "steady-max")
+			b.ReportMetric(plain/n, "plainhash")
+			b.ReportMetric(changed, "changed-max")
+			b.ReportMetric(handed/flows, "handed/flow")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkMemory reports the bytes of one held flow, registered with two
+// homes, and of one exception entry.
+func BenchmarkMemory(b *testing.B) {
+	const n = 65536
+	flow := func(i int) model.Flow {
+		src := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+		return model.Flow{Src: netip.AddrPortFrom(src, 5000), Dst: addr(0).Addr, Proto: model.TCP}
+	}
+	c := newSim(1, 3).agents[0].core
+	for i := range b.N {
+		before := heapBytes()
+		c.held = newFlowTable[holding]()
+		for i := range n {
+			f := flow(i)
+			c.held.put(f.Hash(), f)
+		}
+		held := heapBytes()
+		c.exceptions = newFlowTable[exception]()
+		for i := range n {
+			f := flow(i)
+			c.remember(epoch, f.Hash(), f, "s0-01", 1, 0)
+		}
+		if i == 0 {
+			b.ReportMetric(float64(held-before)/n, "B/held")
+			b.ReportMetric(float64(heapBytes()-held)/n, "B/exception")
+		}
+	}
+	b.ReportMetric(0, "ns/op")
+	runtime.KeepAlive(c)
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/flows/history_test.go
+++ b/internal/flows/history_test.go
@@ -71,6 +71,10 @@
 	c.acked = c.sent
 	if !c.established && s.rng.Float64() >= s.loss {
 		c.established = true
+		if s.quiet {
+			s.after(c.ends.Sub(s.now), func() { s.finish(f, recClose, nil) })
+			return
+		}
 		s.data(c)
 	}
 }
--- a/internal/flows/sim_test.go
+++ b/internal/flows/sim_test.go
@@ -32,6 +32,7 @@
 	views     []model.ServiceView // the configuration in force, one for each service
 	version   int
 
+	quiet               bool          // callers send only opening packets
 	patience            time.Duration // of a caller without progress
 	copies              int           // more copies of each opening packet, within 20 ms
 	loss, dup           float64
