--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -76,7 +76,7 @@
 }
 
 // Held returns the number of flows held.
-func (c *Core) Held() int { return c.flows.Held() }
+func (c *Core) Held() int { return c.flows.Load().Flows }
 
 // Step handles one event. The returned slice is valid until the next call.
 func (c *Core) Step(now time.Time, ev Event) []Action {
@@ -91,7 +91,7 @@
 	case Load:
 		c.flowStep(flows.LoadChanged(ev))
 		load := ev.Load
-		load.Flows = c.flows.Held()
+		load.Flows = c.flows.Load().Flows
 		c.announce(membership.SetLoad{Load: load, FileRev: c.announcer.Slice().FileRev})
 	case Leave:
 		c.flowStep(flows.Leave{})
--- a/internal/flows/sim_test.go
+++ b/internal/flows/sim_test.go
@@ -32,6 +32,9 @@
 	views     []model.ServiceView // the configuration in force, one for each service
 	version   int
 
+	quiet               bool          // callers send only opening packets
+	patience            time.Duration // of a caller without progress
+	copies              int           // more copies of each opening packet, within 20 ms
 	loss, dup           float64
 	agentLag, balancLag time.Duration
 	askOpening          bool // balancers ask the holders of a moved address about opening packets too
@@ -86,7 +89,7 @@
 // newSim starts services of the given numbers of targets, one address each.
 func newSim(seed uint64, targets ...int) *sim {
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, callers: map[model.Flow]*caller{},
-		packets: map[Ref]Packet{}, counts: map[Reason]int{}, askOpening: true}
+		packets: map[Ref]Packet{}, counts: map[Reason]int{}, askOpening: true, patience: 20 * time.Second}
 	for i, n := range targets {
 		svc := model.ServiceName(fmt.Sprint("s", i))
 		s.views = append(s.views, model.ServiceView{Service: svc, Addrs: []model.ServiceAddr{addr(i)}, Policy: model.DefaultPolicy()})
@@ -133,14 +136,18 @@
 func (s *sim) start(service int, started time.Time) *simAgent {
 	v := &s.views[service]
 	id := model.NodeID(fmt.Sprintf("%s-%02d", v.Service, len(s.agents)))
-	a := &simAgent{core: New(Options{Self: id, Service: v.Service, Seed: s.rng.Uint64(), AddressWait: simAddressWait}),
-		member: model.Member{ID: id, Kind: model.KindAgent, Service: v.Service, Incarnation: 1,
-			State: model.StateActive, Weight: 1, Started: started}}
+	a := &simAgent{member: model.Member{ID: id, Kind: model.KindAgent, Service: v.Service, Incarnation: 1,
+		State: model.StateActive, Weight: 1, Started: started}}
+	a.core = s.newCore(a.member)
 	s.agents = append(s.agents, a)
 	v.Members = append(slices.Clone(v.Members), a.member)
 	return a
 }
 
+func (s *sim) newCore(m model.Member) *Core {
+	return New(Options{Self: m.ID, Service: m.Service, Seed: s.rng.Uint64(), AddressWait: simAddressWait})
+}
+
 // change edits the member record of an agent; the caller publishes it.
 func (s *sim) change(a *simAgent, edit func(*model.Member)) {
 	edit(&a.member)
