Add the store stand-in and the store client

Cause: configuration lives in the platform's object store, whose answers may be lost after a write took effect. Change: standin/store serves an HTTP/JSON API with fault switches. storeclient retries reads, sends a write once, and reads back a lost answer as Applied, NotApplied or Unknown. Every call opens its own connection: with kept ones the transport resent reads by itself after a cut, which hid failures from the counters and made the watch test wait forever. Conclusion: no tested fault leads to a second send of a write.

--- /dev/null
+++ b/internal/standin/store/http.go
@@ -0,0 +1,227 @@
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// maxBody leaves room for the base64 form of a content that is just too large,
+// so that it gets 413 with a clear message.
+const maxBody = 2 * MaxContent
+
+// ServeHTTP answers one call.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == CountsPath && r.Method == http.MethodGet:
+		answer(w, http.StatusOK, s.Counts())
+	case r.URL.Path == FaultsPath && r.Method == http.MethodPut:
+		var f Faults
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&f); err != nil {
+			fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: err.Error()})
+			return
+		}
+		s.SetFaults(f)
+		answer(w, http.StatusOK, f)
+	case r.URL.Path == WatchPath && r.Method == http.MethodGet:
+		if s.admit(w, r, &s.counts.Watches, s.reads) {
+			s.serveWatch(w, r)
+		}
+	case r.URL.Path == ObjectsPath && r.Method == http.MethodGet:
+		if s.admit(w, r, &s.counts.Reads, s.reads) {
+			s.serveList(w, r)
+		}
+	case strings.HasPrefix(r.URL.Path, ObjectsPath+"/"):
+		s.serveObject(w, r, strings.TrimPrefix(r.URL.Path, ObjectsPath+"/"))
+	default:
+		fail(w, http.StatusNotFound, Failure{Code: CodeInvalid, Message: "no such call: " + r.Method + " " + r.URL.Path})
+	}
+}
+
+func (s *Store) serveObject(w http.ResponseWriter, r *http.Request, path string) {
+	switch r.Method {
+	case http.MethodGet:
+		if !s.admit(w, r, &s.counts.Reads, s.reads) {
+			return
+		}
+		o, err := s.get(path)
+		if err != nil {
+			failWith(w, err)
+			return
+		}
+		answer(w, http.StatusOK, o)
+	case http.MethodPost, http.MethodPut, http.MethodDelete:
+		s.serveWrite(w, r, path)
+	default:
+		fail(w, http.StatusMethodNotAllowed, Failure{Code: CodeInvalid, Message: "method " + r.Method + " is not supported"})
+	}
+}
+
+func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request, path string) {
+	content, ok := readContent(w, r)
+	if !ok || !s.admit(w, r, &s.counts.Writes, s.writes) {
+		return
+	}
+	if path == "" || len(path) > 1024 {
+		fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: "the path must have 1 to 1024 bytes"})
+		return
+	}
+	if len(content) > MaxContent {
+		fail(w, http.StatusRequestEntityTooLarge, Failure{Code: CodeTooLarge, Message: "the content is larger than 1 MB"})
+		return
+	}
+	var version uint64
+	var err error
+	status := http.StatusOK
+	if r.Method == http.MethodPost {
+		status = http.StatusCreated
+		version, err = s.create(path, content)
+	} else {
+		expected, parseErr := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+		if parseErr != nil {
+			fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: "the parameter version must be a number"})
+			return
+		}
+		version, err = s.replace(path, expected, content, r.Method == http.MethodDelete)
+	}
+	if s.takeFault(func(f *Faults) *int { return &f.LoseAnswers }) {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	answer(w, status, Object{Path: path, Version: version})
+}
+
+func readContent(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	if r.Method == http.MethodDelete {
+		return nil, true
+	}
+	var body WriteBody
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		fail(w, http.StatusRequestEntityTooLarge, Failure{Code: CodeTooLarge, Message: "the content is larger than 1 MB"})
+		return nil, false
+	case err != nil:
+		fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: "body: " + err.Error()})
+		return nil, false
+	}
+	return body.Content, true
+}
+
+func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit < 1 || limit > MaxPage {
+		limit = MaxPage
+	}
+	answer(w, http.StatusOK, s.list(q.Get("prefix"), q.Get("after"), limit))
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, errAfter := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, errWait := strconv.Atoi(q.Get("wait_ms"))
+	if errAfter != nil || errWait != nil || wait < 0 {
+		fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: "the parameters after and wait_ms must be numbers"})
+		return
+	}
+	if s.takeFault(func(f *Faults) *int { return &f.CutWatches }) {
+		panic(http.ErrAbortHandler)
+	}
+	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, MaxWait))
+	defer timer.Stop()
+	for {
+		out, changed, cut, covered := s.since(q.Get("prefix"), after)
+		if !covered {
+			fail(w, http.StatusGone, Failure{Code: CodeTooOld, Message: "changes after this version are not covered"})
+			return
+		}
+		if len(out.Changes) > 0 {
+			answer(w, http.StatusOK, out)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			answer(w, http.StatusOK, out)
+			return
+		case <-cut:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// admit counts a call and applies the faults and the rate limit to it.
+func (s *Store) admit(w http.ResponseWriter, r *http.Request, count *uint64, limit *rate.Limiter) bool {
+	s.mu.Lock()
+	*count++
+	f := s.faults
+	allowed := limit.AllowN(s.now(), 1)
+	if !allowed {
+		s.counts.RateLimited++
+	}
+	s.mu.Unlock()
+	if f.Down {
+		panic(http.ErrAbortHandler)
+	}
+	slow := time.Duration(f.SlowMillis) * time.Millisecond
+	if r.Method == http.MethodGet {
+		select {
+		case <-time.After(slow):
+		case <-r.Context().Done():
+			return false
+		}
+	} else {
+		time.Sleep(min(slow, WriteBound)) // a caller that left does not stop its write
+	}
+	switch {
+	case f.Unavailable, slow > WriteBound && r.Method != http.MethodGet:
+		fail(w, http.StatusServiceUnavailable, Failure{Code: CodeUnavailable, Message: "the store is not available"})
+		return false
+	case !allowed:
+		w.Header().Set("Retry-After", "1")
+		fail(w, http.StatusTooManyRequests, Failure{Code: CodeRateLimited, Message: "too many calls"})
+		return false
+	}
+	return true
+}
+
+// takeFault uses up one of a counted fault.
+func (s *Store) takeFault(field func(*Faults) *int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := field(&s.faults)
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+func failWith(w http.ResponseWriter, err error) {
+	var conflict conflictError
+	if errors.As(err, &conflict) {
+		fail(w, http.StatusConflict, Failure{Code: CodeConflict, Message: err.Error(), Version: conflict.version})
+		return
+	}
+	fail(w, http.StatusNotFound, Failure{Code: CodeNotFound, Message: err.Error()})
+}
+
+func fail(w http.ResponseWriter, status int, f Failure) { answer(w, status, f) }
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the connection is gone when this fails
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,190 @@
+package store
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Options are the limits of a store. Zero values take the defaults.
+type Options struct {
+	ReadsPerSecond  float64          // default 2000
+	WritesPerSecond float64          // default 300
+	Retain          int              // changes kept for watches, default 10000
+	Now             func() time.Time // clock of the rate limits, default time.Now
+}
+
+// Store is the object store. It is an http.Handler.
+type Store struct {
+	now           func() time.Time
+	reads, writes *rate.Limiter
+	retain        int
+
+	mu      sync.Mutex
+	objects map[string]Object
+	version uint64
+	history []Change      // the newest changes, in order
+	floor   uint64        // watches after a version below this one are refused
+	changed chan struct{} // closed at the next change
+	faults  Faults
+	cut     chan struct{} // closed to cut the waiting watches
+	counts  Counts
+}
+
+// New returns an empty store.
+func New(o Options) *Store {
+	if o.ReadsPerSecond == 0 {
+		o.ReadsPerSecond = 2000
+	}
+	if o.WritesPerSecond == 0 {
+		o.WritesPerSecond = 300
+	}
+	if o.Retain == 0 {
+		o.Retain = 10_000
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Store{
+		now:     o.Now,
+		reads:   rate.NewLimiter(rate.Limit(o.ReadsPerSecond), max(1, int(o.ReadsPerSecond))),
+		writes:  rate.NewLimiter(rate.Limit(o.WritesPerSecond), max(1, int(o.WritesPerSecond))),
+		retain:  o.Retain,
+		objects: make(map[string]Object),
+		changed: make(chan struct{}),
+		cut:     make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the faults in force. CutWatches also cuts the watches that
+// wait now.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	if f.CutWatches > 0 || f.Down {
+		close(s.cut)
+		s.cut = make(chan struct{})
+	}
+}
+
+// Counts returns the calls so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// errNotFound and conflictError refuse a write.
+var errNotFound = errors.New("the object does not exist")
+
+type conflictError struct{ version uint64 }
+
+func (conflictError) Error() string { return "the object has another version" }
+
+func (s *Store) get(path string) (Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[path]
+	if !ok {
+		return Object{}, errNotFound
+	}
+	return o, nil
+}
+
+func (s *Store) list(prefix, after string, limit int) Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var paths []string
+	for p := range s.objects {
+		if strings.HasPrefix(p, prefix) && p > after {
+			paths = append(paths, p)
+		}
+	}
+	slices.Sort(paths)
+	page := Page{Revision: s.version, Objects: []Object{}}
+	size := 0
+	for _, p := range paths {
+		o := s.objects[p]
+		size += len(o.Content)
+		if len(page.Objects) == limit || (size > maxPageBytes && len(page.Objects) > 0) {
+			page.More = true
+			break
+		}
+		page.Objects = append(page.Objects, o)
+	}
+	return page
+}
+
+func (s *Store) create(path string, content []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.objects[path]; ok {
+		return 0, conflictError{o.Version}
+	}
+	return s.record(Change{Object: Object{Path: path, Content: content}}), nil
+}
+
+// replace updates or removes an object whose version is the expected one.
+func (s *Store) replace(path string, version uint64, content []byte, remove bool) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[path]
+	if !ok {
+		return 0, errNotFound
+	}
+	if o.Version != version {
+		return 0, conflictError{o.Version}
+	}
+	return s.record(Change{Object: Object{Path: path, Content: content}, Removed: remove}), nil
+}
+
+func (s *Store) record(c Change) uint64 {
+	s.version++
+	c.Version = s.version
+	if c.Removed {
+		delete(s.objects, c.Path)
+	} else {
+		s.objects[c.Path] = c.Object
+	}
+	s.history = append(s.history, c)
+	if drop := len(s.history) - s.retain; drop > 0 {
+		s.floor = s.history[drop-1].Version
+		s.history = slices.Clone(s.history[drop:])
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version
+}
+
+// since returns the changes after a version, and channels that close at the
+// next change and when watches are cut. covered is false if changes after the
+// version were forgotten or the version is from the future.
+func (s *Store) since(prefix string, after uint64) (out Changes, changed, cut <-chan struct{}, covered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.floor || after > s.version {
+		return out, nil, nil, false
+	}
+	out.Revision, out.Changes = s.version, []Change{}
+	i, _ := slices.BinarySearchFunc(s.history, after+1, func(c Change, v uint64) int { return int(c.Version) - int(v) })
+	size := 0
+	for _, c := range s.history[i:] {
+		if !strings.HasPrefix(c.Path, prefix) {
+			continue
+		}
+		if size += len(c.Content); size > maxPageBytes && len(out.Changes) > 0 {
+			out.Revision = out.Changes[len(out.Changes)-1].Version // the rest follows at the next call
+			break
+		}
+		out.Changes = append(out.Changes, c)
+	}
+	return out, s.changed, s.cut, true
+}
+
+// Preload creates an object without a call, for tests and demonstrations.
+func (s *Store) Preload(path string, content []byte) (uint64, error) { return s.create(path, content) }
--- /dev/null
+++ b/internal/storeclient/client.go
@@ -0,0 +1,272 @@
+// Package storeclient calls the platform's object store, whose API is defined
+// in package standin/store. Reads are retried; a write is sent once, and when
+// its answer is lost the client reads back whether it took effect.
+package storeclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/standin/store"
+)
+
+// The counters of the client.
+const (
+	CounterRetries  = "store_retries"   // by error kind
+	CounterReadBack = "store_read_back" // by outcome
+)
+
+// Defaults of Options.
+const (
+	DefaultDeadline   = 3 * time.Second
+	DefaultAttempts   = 5
+	DefaultBackoff    = 50 * time.Millisecond
+	DefaultMaxBackoff = 2 * time.Second
+	DefaultWait       = 25 * time.Second
+	// maxAnswer bounds an answer: a page holds 1 MB and one object more, in base64.
+	maxAnswer = 4 << 20
+)
+
+// Counter counts retries and read-backs; *telemetry.Metrics is one.
+type Counter interface {
+	Count(name, reason string, n int64)
+}
+
+// Options configure a client. Zero values take the defaults.
+type Options struct {
+	URL        string        // http://IP:port of the store
+	Deadline   time.Duration // for each attempt of a call
+	Attempts   int           // of a read
+	Backoff    time.Duration // before the first retry; doubles for each one more
+	MaxBackoff time.Duration
+	Wait       time.Duration // longest wait of a watch call
+	WriteBound time.Duration // after which a lost write no longer takes effect
+	Seed       uint64        // of the jitter
+	Counter    Counter       // may be nil
+}
+
+// Client is a client of one store. It is safe for concurrent use.
+type Client struct {
+	o         Options
+	base      *url.URL
+	transport *http.Transport
+
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+// New returns a client. It makes no call.
+func New(o Options) (*Client, error) {
+	base, err := url.Parse(o.URL)
+	if err != nil || base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
+		return nil, trace.BadParameter("store URL %q must be http://host:port or https://host:port", o.URL)
+	}
+	setDefault(&o.Deadline, DefaultDeadline)
+	setDefault(&o.Attempts, DefaultAttempts)
+	setDefault(&o.Backoff, DefaultBackoff)
+	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
+	setDefault(&o.Wait, DefaultWait)
+	setDefault(&o.WriteBound, store.WriteBound)
+	if o.Counter == nil {
+		o.Counter = noCounter{}
+	}
+	return &Client{
+		o: o, base: base,
+		// Each call opens its own connection: an open one may have gone silent, and
+		// the transport resends a read by itself, without a count, when a reused
+		// connection breaks. Calls are rare enough for the extra round trip.
+		transport: &http.Transport{DisableKeepAlives: true},
+		rand:      rand.New(rand.NewPCG(o.Seed, 0)),
+	}, nil
+}
+
+type noCounter struct{}
+
+func (noCounter) Count(string, string, int64) {}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// call is one call of the API.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+	extra  time.Duration // time that the store may wait on purpose
+}
+
+func (c call) String() string { return c.method + " " + c.path }
+
+// once makes one attempt and decodes the answer into out.
+func (c *Client) once(ctx context.Context, k call, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.o.Deadline+k.extra)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	u := c.base.JoinPath(k.path)
+	u.RawQuery = k.query.Encode()
+	req, err := http.NewRequestWithContext(ctx, k.method, u.String(), bytes.NewReader(k.body))
+	if err != nil {
+		return &Error{Kind: Invalid, Call: k.String(), Err: err}
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err == nil {
+		defer resp.Body.Close()
+		var data []byte
+		if data, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer)); err == nil {
+			return c.decode(k, resp, data, out)
+		}
+	}
+	kind := Lost
+	if !connected.Load() {
+		kind = Unavailable
+	}
+	return &Error{Kind: kind, Call: k.String(), Err: err}
+}
+
+func (c *Client) decode(k call, resp *http.Response, data []byte, out any) error {
+	if resp.StatusCode < 300 {
+		if err := json.Unmarshal(data, out); err != nil {
+			return &Error{Kind: Lost, Call: k.String(), Err: trace.Wrap(err, "answer is not valid")}
+		}
+		return nil
+	}
+	var f store.Failure
+	_ = json.Unmarshal(data, &f) // a failure without a body is classed by its status
+	e := &Error{Call: k.String(), Message: f.Message, Version: f.Version}
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
+		e.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		e.Kind = NotFound
+	case http.StatusConflict:
+		e.Kind = Conflict
+	case http.StatusRequestEntityTooLarge:
+		e.Kind = TooLarge
+	case http.StatusTooManyRequests:
+		e.Kind = RateLimited
+	case http.StatusServiceUnavailable:
+		e.Kind = Unavailable
+	case http.StatusGone:
+		e.Kind = TooOld
+	default:
+		e.Kind = Invalid
+		if resp.StatusCode >= 500 { // also from a gateway, which does not know the effect
+			e.Kind = Lost
+		}
+	}
+	if e.Message == "" {
+		e.Message = resp.Status
+	}
+	return e
+}
+
+// read makes a call that has no effect, with retries.
+func (c *Client) read(ctx context.Context, k call, out any) error {
+	for attempt := 1; ; attempt++ {
+		err := c.once(ctx, k, out)
+		if err == nil || attempt >= c.o.Attempts || !KindOf(err).retryable() || ctx.Err() != nil {
+			return err
+		}
+		c.o.Counter.Count(CounterRetries, KindOf(err).String(), 1)
+		if c.pause(ctx, attempt, err) != nil {
+			return err
+		}
+	}
+}
+
+// pause waits before retry number n, at least as long as the store asked for.
+func (c *Client) pause(ctx context.Context, n int, err error) error {
+	d := c.backoff(n)
+	var e *Error
+	if errors.As(err, &e) {
+		d = max(d, min(e.RetryAfter, c.o.MaxBackoff))
+	}
+	return sleep(ctx, d)
+}
+
+// backoff returns the wait before retry n: half of it fixed, half random, so
+// that clients that failed together do not return together.
+func (c *Client) backoff(n int) time.Duration {
+	d := c.o.MaxBackoff
+	if n < 20 {
+		d = min(d, c.o.Backoff<<(n-1))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return d/2 + time.Duration(c.rand.Int64N(int64(d/2)+1))
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Object is an object of the store.
+type Object = store.Object
+
+// Get returns one object.
+func (c *Client) Get(ctx context.Context, path string) (Object, error) {
+	var o Object
+	err := c.read(ctx, call{method: http.MethodGet, path: objectPath(path)}, &o)
+	return o, err
+}
+
+// Listing is the result of List. Revision is the version to watch after: a
+// change made while the pages were read is seen again by the watch.
+type Listing struct {
+	Revision uint64
+	Objects  []Object // in byte order of paths
+}
+
+// List returns all objects whose paths start with prefix.
+func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
+	var out Listing
+	after := ""
+	for first := true; ; first = false {
+		var page store.Page
+		q := url.Values{"prefix": {prefix}, "after": {after}}
+		if err := c.read(ctx, call{method: http.MethodGet, path: store.ObjectsPath, query: q}, &page); err != nil {
+			return Listing{}, err
+		}
+		if first {
+			out.Revision = page.Revision
+		}
+		out.Objects = append(out.Objects, page.Objects...)
+		if !page.More || len(page.Objects) == 0 {
+			return out, nil
+		}
+		after = page.Objects[len(page.Objects)-1].Path
+	}
+}
+
+// objectPath keeps the slashes of an object's path; JoinPath escapes the rest.
+func objectPath(path string) string { return store.ObjectsPath + "/" + strings.TrimPrefix(path, "/") }
--- /dev/null
+++ b/internal/storeclient/client_test.go
@@ -0,0 +1,333 @@
+package storeclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/standin/store"
+)
+
+type counts struct {
+	mu sync.Mutex
+	m  map[string]int64
+}
+
+func (c *counts) Count(name, reason string, n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.m[name+"/"+reason] += n
+}
+
+func (c *counts) get(key string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.m[key]
+}
+
+// silencer makes the connections accepted so far go silent: their bytes no
+// longer reach the server, and no end of the connection is seen.
+type silencer struct {
+	net.Listener
+	mu       sync.Mutex
+	conns    []*silentConn
+	accepted int
+}
+
+type silentConn struct {
+	net.Conn
+	mu     sync.Mutex
+	silent bool
+}
+
+func (c *silentConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.silent && err == nil {
+		select {} // the test process ends with it
+	}
+	return n, err
+}
+
+func (s *silencer) Accept() (net.Conn, error) {
+	conn, err := s.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &silentConn{Conn: conn}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns = append(s.conns, c)
+	s.accepted++
+	return c, nil
+}
+
+func (s *silencer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.mu.Lock()
+		c.silent = true
+		c.mu.Unlock()
+	}
+}
+
+func start(t *testing.T, so store.Options, co Options) (*store.Store, *Client, *counts, *silencer) {
+	t.Helper()
+	s := store.New(so)
+	srv := httptest.NewUnstartedServer(s)
+	ln := &silencer{Listener: srv.Listener}
+	srv.Listener = ln
+	srv.Start()
+	t.Cleanup(func() { go srv.Close() }) // Close would wait for silenced connections
+	n := &counts{m: make(map[string]int64)}
+	co.URL, co.Counter = srv.URL, n
+	setDefault(&co.Deadline, 2*time.Second)
+	setDefault(&co.Backoff, time.Millisecond)
+	setDefault(&co.MaxBackoff, 5*time.Millisecond)
+	setDefault(&co.WriteBound, 20*time.Millisecond)
+	setDefault(&co.Wait, time.Second)
+	c, err := New(co)
+	is.New(t).NoErr(err)
+	return s, c, n, ln
+}
+
+// Guards against a lost answer that is taken for a failure or sent again.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, c, n, _ := start(t, store.Options{}, Options{})
+	s.SetFaults(store.Faults{LoseAnswers: 1})
+	w, err := c.Create(ctx, "d/a.yaml", []byte("one"))
+	is.NoErr(err)
+	is.Equal(w, Write{Outcome: Applied, Version: 1})
+	s.SetFaults(store.Faults{LoseAnswers: 1})
+	w, err = c.Update(ctx, "d/a.yaml", 1, []byte("two"))
+	is.NoErr(err)
+	is.Equal(w, Write{Outcome: Applied, Version: 2})
+	s.SetFaults(store.Faults{LoseAnswers: 1})
+	w, err = c.Delete(ctx, "d/a.yaml", 2)
+	is.NoErr(err)
+	is.Equal(w.Outcome, Applied)
+	is.Equal(s.Counts().Writes, uint64(3)) // no write was sent twice
+	is.Equal(n.get(CounterReadBack+"/applied"), int64(3))
+
+	// The answer lost is a conflict: another operator's object stands.
+	_, err = c.Create(ctx, "d/b.yaml", []byte("theirs"))
+	is.NoErr(err)
+	s.SetFaults(store.Faults{LoseAnswers: 1})
+	w, err = c.Create(ctx, "d/b.yaml", []byte("ours"))
+	is.Equal(KindOf(err), Lost)
+	is.Equal(w.Outcome, Unknown)
+	is.Equal(string(w.Current.Content), "theirs")
+}
+
+// Guards against a write that is called not applied, or sent again, while the
+// store is down or slow.
+func TestDownAndSlowStore(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, c, n, _ := start(t, store.Options{}, Options{Deadline: 100 * time.Millisecond, WriteBound: 500 * time.Millisecond, Attempts: 20, MaxBackoff: 50 * time.Millisecond})
+	s.SetFaults(store.Faults{Down: true})
+	w, err := c.Create(ctx, "a", []byte("x"))
+	is.Equal(w.Outcome, Unknown) // sent, no answer, and no read-back either
+	is.Equal(KindOf(err), Lost)
+	is.Equal(s.Counts().Writes, uint64(1))
+	_, err = c.Get(ctx, "a")
+	is.Equal(KindOf(err), Lost)
+	is.True(n.get(CounterRetries+"/lost") >= 19)
+
+	s.SetFaults(store.Faults{Unavailable: true})
+	w, err = c.Create(ctx, "a", []byte("x"))
+	is.Equal(w.Outcome, NotApplied)
+	is.Equal(KindOf(err), Unavailable)
+
+	// The write takes effect 300 ms late, long after the client gave up on it.
+	s.SetFaults(store.Faults{SlowMillis: 300})
+	go func() {
+		for s.Counts().Writes < 3 {
+			time.Sleep(time.Millisecond)
+		}
+		s.SetFaults(store.Faults{}) // reads are fast and see the old state at first
+	}()
+	w, err = c.Create(ctx, "a", []byte("x"))
+	is.NoErr(err)
+	is.Equal(w.Outcome, Applied)
+
+	refused, err := New(Options{URL: "http://" + closedPort(t)})
+	is.NoErr(err)
+	w, err = refused.Create(ctx, "a", nil)
+	is.Equal(w.Outcome, NotApplied) // never sent
+	is.Equal(KindOf(err), Unavailable)
+}
+
+func closedPort(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// Guards against a lost write that is reported without a second look.
+func TestWriteThatNeverArrivedIsNotApplied(t *testing.T) {
+	is := is.New(t)
+	s := store.New(store.Options{})
+	posts := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			posts++
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		s.ServeHTTP(w, r)
+	}))
+	defer srv.Close()
+	c, err := New(Options{URL: srv.URL, WriteBound: time.Millisecond})
+	is.NoErr(err)
+	w, err := c.Create(context.Background(), "a", []byte("x"))
+	is.Equal(w.Outcome, NotApplied)
+	is.Equal(KindOf(err), Lost)
+	is.Equal(posts, 1)
+	is.Equal(s.Counts().Reads, uint64(2))
+}
+
+// Guards against a call on a connection that went silent.
+func TestCallsUseFreshConnections(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, c, n, ln := start(t, store.Options{}, Options{Deadline: 150 * time.Millisecond})
+	_, err := c.Create(ctx, "a", []byte("x"))
+	is.NoErr(err)
+	ln.silence()
+	o, err := c.Get(ctx, "a")
+	is.NoErr(err)
+	is.Equal(string(o.Content), "x")
+	is.Equal(n.get(CounterRetries+"/lost"), int64(0))
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	is.Equal(ln.accepted, 2)
+}
+
+// Guards against writes over the rate limit that are retried, reads that are
+// not, and errors that lose their kind.
+func TestRefusalsAreTyped(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	now := time.Unix(0, 0)
+	s, c, n, _ := start(t, store.Options{ReadsPerSecond: 2, WritesPerSecond: 4, Now: func() time.Time { return now }}, Options{Attempts: 3})
+	_, err := c.Update(ctx, "a", 1, nil)
+	is.Equal(KindOf(err), NotFound)
+	_, err = c.Create(ctx, "a", make([]byte, store.MaxContent+1))
+	is.Equal(KindOf(err), TooLarge)
+	_, err = c.Create(ctx, "a", make([]byte, store.MaxContent))
+	is.NoErr(err)
+	w, err := c.Update(ctx, "a", 7, nil)
+	is.Equal(w.Outcome, NotApplied)
+	var e *Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Version, uint64(1))
+	w, err = c.Create(ctx, "b", nil)
+	is.Equal(w.Outcome, NotApplied)
+	is.True(errors.As(err, &e))
+	is.Equal(e.Kind, RateLimited)
+	is.Equal(e.RetryAfter, time.Second)
+	is.Equal(s.Counts().Writes, uint64(5))
+	_, _ = c.Get(ctx, "a")
+	_, _ = c.Get(ctx, "a")
+	_, err = c.Get(ctx, "a")
+	is.Equal(KindOf(err), RateLimited)
+	is.Equal(n.get(CounterRetries+"/rate_limited"), int64(2))
+	is.Equal(s.Counts(), store.Counts{Reads: 5, Writes: 5, RateLimited: 4})
+}
+
+// Guards against two operators who both believe that their file stands.
+func TestConcurrentCreatesHaveOneWinner(t *testing.T) {
+	is := is.New(t)
+	_, c, _, _ := start(t, store.Options{}, Options{})
+	var wg sync.WaitGroup
+	results := make([]Write, 8)
+	for i := range results {
+		wg.Go(func() { results[i], _ = c.Create(context.Background(), "same", fmt.Append(nil, i)) })
+	}
+	wg.Wait()
+	o, err := c.Get(context.Background(), "same")
+	is.NoErr(err)
+	for i, w := range results {
+		is.Equal(w.Outcome == Applied, string(o.Content) == fmt.Sprint(i))
+	}
+}
+
+// Guards against a watch that ends, skips or repeats a change when it is cut,
+// and against one that misses removals when its version is too old.
+func TestWatchResumesAndRelists(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s, c, n, _ := start(t, store.Options{Retain: 3}, Options{})
+	for i := range 1100 { // more than one page
+		_, err := s.Preload(fmt.Sprintf("d/%04d", i), []byte("x"))
+		is.NoErr(err)
+	}
+	batches := make(chan Batch)
+	go func() {
+		_ = c.Watch(ctx, "d/", 0, func(b Batch) error { batches <- b; return nil })
+	}()
+	b := <-batches
+	is.True(b.Reset)
+	is.Equal(len(b.Changes), 1100)
+	is.Equal(b.Revision, uint64(1100))
+
+	s.SetFaults(store.Faults{CutWatches: 2})
+	for i := 0; n.get(CounterRetries+"/watch_lost") < 2; i++ {
+		is.True(i < 10_000)
+		time.Sleep(time.Millisecond)
+	}
+	_, err := s.Preload("d/new", []byte("y"))
+	is.NoErr(err)
+	_, err = s.Preload("other", []byte("y"))
+	is.NoErr(err)
+	var got []Change
+	for len(got) == 0 {
+		b = <-batches
+		is.True(!b.Reset)
+		got = append(got, b.Changes...)
+	}
+	is.Equal(got, []Change{{Object: Object{Path: "d/new", Version: 1101, Content: []byte("y")}}})
+
+	old, err := New(Options{URL: c.o.URL})
+	is.NoErr(err)
+	stop := errors.New("stop")
+	err = old.Watch(ctx, "d/", 5, func(b Batch) error {
+		is.True(b.Reset)
+		is.Equal(len(b.Changes), 1101)
+		return stop
+	})
+	is.Equal(err, stop)
+}
+
+// Guards against retries of many clients at the same moment.
+func TestBackoffGrowsWithJitterFromSeed(t *testing.T) {
+	is := is.New(t)
+	mk := func(seed uint64) (out []time.Duration) {
+		c, err := New(Options{URL: "http://127.0.0.1:1", Seed: seed})
+		is.NoErr(err)
+		for n := 1; n < 30; n++ {
+			d := c.backoff(n)
+			full := min(DefaultMaxBackoff, DefaultBackoff<<min(n-1, 20))
+			is.True(d >= full/2 && d <= full)
+			out = append(out, d)
+		}
+		return out
+	}
+	is.Equal(mk(1), mk(1))
+	is.True(fmt.Sprint(mk(1)) != fmt.Sprint(mk(2)))
+}
--- /dev/null
+++ b/internal/storeclient/write.go
@@ -0,0 +1,131 @@
+package storeclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/standin/store"
+)
+
+// Outcome tells what became of a write.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Applied: the object is as the write wanted it.
+	Applied Outcome = iota + 1
+	// NotApplied: the write did not take effect and will not.
+	NotApplied
+	// Unknown: the client cannot tell.
+	Unknown
+)
+
+// String returns the outcome as used for reasons of counters.
+func (o Outcome) String() string {
+	switch o {
+	case Applied:
+		return "applied"
+	case NotApplied:
+		return "not_applied"
+	case Unknown:
+		return "unknown"
+	}
+	return "invalid"
+}
+
+// Write is the result of a write.
+type Write struct {
+	Outcome Outcome
+	// Version is the version that the write got when it was applied. It is 0
+	// for a delete whose answer was lost.
+	Version uint64
+	// Current is the object as read back when another write overtook this one;
+	// nil otherwise.
+	Current *Object
+}
+
+// want is what a write tries to reach.
+type want struct {
+	path    string
+	version uint64 // expected before the write, 0 if the object must not exist
+	content []byte
+	remove  bool
+}
+
+// Create creates an object that must not exist. The error is nil only if the
+// outcome is Applied.
+func (c *Client) Create(ctx context.Context, path string, content []byte) (Write, error) {
+	return c.write(ctx, http.MethodPost, want{path: path, content: content})
+}
+
+// Update replaces an object that must have the given version.
+func (c *Client) Update(ctx context.Context, path string, version uint64, content []byte) (Write, error) {
+	return c.write(ctx, http.MethodPut, want{path: path, version: version, content: content})
+}
+
+// Delete removes an object that must have the given version.
+func (c *Client) Delete(ctx context.Context, path string, version uint64) (Write, error) {
+	return c.write(ctx, http.MethodDelete, want{path: path, version: version, remove: true})
+}
+
+func (c *Client) write(ctx context.Context, method string, w want) (Write, error) {
+	k := call{method: method, path: objectPath(w.path)}
+	if method != http.MethodPost {
+		k.query = url.Values{"version": {strconv.FormatUint(w.version, 10)}}
+	}
+	if !w.remove {
+		body, err := json.Marshal(store.WriteBody{Content: w.content})
+		if err != nil {
+			return Write{Outcome: NotApplied}, trace.Wrap(err)
+		}
+		k.body = body
+	}
+	var o Object
+	err := c.once(ctx, k, &o)
+	switch {
+	case err == nil:
+		return Write{Outcome: Applied, Version: o.Version}, nil
+	case KindOf(err) != Lost:
+		return Write{Outcome: NotApplied}, err
+	}
+	result := c.readBack(ctx, w)
+	c.o.Counter.Count(CounterReadBack, result.Outcome.String(), 1)
+	if result.Outcome == Applied {
+		err = nil
+	}
+	return result, err
+}
+
+// readBack finds out whether a write with a lost answer took effect. While the
+// object is unchanged the write may still be on its way, so NotApplied needs a
+// second look after the store's bound for late writes.
+func (c *Client) readBack(ctx context.Context, w want) Write {
+	for look := 1; ; look++ {
+		o, err := c.Get(ctx, w.path)
+		absent := KindOf(err) == NotFound
+		switch {
+		case err != nil && !absent:
+			return Write{Outcome: Unknown}
+		case w.remove && absent:
+			return Write{Outcome: Applied}
+		case !w.remove && !absent && o.Version > w.version && bytes.Equal(o.Content, w.content):
+			return Write{Outcome: Applied, Version: o.Version}
+		case !absent && o.Version != w.version:
+			return Write{Outcome: Unknown, Current: &o} // ours may have come before
+		case absent && w.version != 0:
+			return Write{Outcome: Unknown} // an update, and someone removed the object
+		}
+		if look == 2 {
+			return Write{Outcome: NotApplied}
+		}
+		if sleep(ctx, c.o.WriteBound) != nil {
+			return Write{Outcome: Unknown}
+		}
+	}
+}
