--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -13,6 +13,7 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/membership"
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/placement"
 )
 
 // senderGrace is how long packets of an authentic sender are taken before a
@@ -78,6 +79,15 @@
 // Held returns the number of flows held.
 func (c *Core) Held() int { return c.flows.Load().Flows }
 
+// Settled reports whether the view of the service has not changed lately.
+func (c *Core) Settled(now time.Time) bool { return c.flows.Table().Settled(now) }
+
+// Table returns the placement table, which only the core changes.
+func (c *Core) Table() *placement.Table { return c.flows.Table() }
+
+// Holds reports whether this agent holds a flow.
+func (c *Core) Holds(f model.Flow) bool { return c.flows.Holds(f) }
+
 // Step handles one event. The returned slice is valid until the next call.
 func (c *Core) Step(now time.Time, ev Event) []Action {
 	c.now, c.out = now, c.out[:0]
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -67,6 +67,8 @@
 	packets  *ring.Ring[forwarded]
 	messages *ring.Ring[received]
 	leave    chan bool // true for the final announcement
+	calls    calls
+	started  time.Time
 	held     map[flows.Ref]forwarded
 	nextRef  flows.Ref
 	resets   packet.ResetBuilder
@@ -98,7 +100,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	a := &Agent{opt: opt, held: make(map[flows.Ref]forwarded), leave: make(chan bool, 2)}
+	a := &Agent{opt: opt, held: make(map[flows.Ref]forwarded), leave: make(chan bool, 2), calls: make(calls), started: time.Now()}
 	if a.transport, err = newTransport(opt.Self.PeerAddr, opt.Paths, codec, opt.Metrics); err != nil {
 		return nil, err
 	}
@@ -311,6 +313,8 @@
 			a.packet(p)
 		case r := <-a.messages.Items():
 			a.step(agent.Received{From: r.env.From, Incarnation: r.env.Incarnation, Addr: r.addr, Msg: r.env.Msg})
+		case call := <-a.calls:
+			call()
 		case final := <-a.leave:
 			a.step(agent.Leave{Final: final})
 		case now := <-tick.C:
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -65,7 +65,8 @@
 	waiting  map[route.Ref]waitingPacket
 	nextRef  route.Ref
 
-	calls chan func() // run by the loop
+	calls   calls
+	started time.Time
 }
 
 // waitingPacket is a packet whose flow the core is asking about.
@@ -95,7 +96,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	b := &Balancer{opt: opt, waiting: make(map[route.Ref]waitingPacket), events: make(chan balancer.Event, eventRing), calls: make(chan func())}
+	b := &Balancer{opt: opt, waiting: make(map[route.Ref]waitingPacket), events: make(chan balancer.Event, eventRing), calls: make(calls), started: time.Now()}
 	if b.transport, err = newTransport(opt.Self.PeerAddr, opt.Paths, codec, opt.Metrics); err != nil {
 		return nil, err
 	}
@@ -124,25 +125,13 @@
 
 // State returns what the core knows. ok is false when the balancer has stopped.
 func (b *Balancer) State(ctx context.Context) (state BalancerState, ok bool) {
-	done := make(chan struct{})
-	copyState := func() {
-		defer close(done)
+	ok = b.calls.do(ctx, func() {
 		snapshot, rev := b.core.Snapshot()
 		state = BalancerState{
 			Self: b.core.Self(), Serving: b.core.Serving(), Rev: rev, Snapshot: snapshot, Members: b.core.Members(),
 		}
-	}
-	select {
-	case b.calls <- copyState:
-	case <-ctx.Done():
-		return state, false
-	}
-	select {
-	case <-done:
-		return state, true
-	case <-ctx.Done():
-		return BalancerState{}, false
-	}
+	})
+	return state, ok
 }
 
 // Post hands an event to the core.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -3,11 +3,13 @@
 package telemetry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -101,6 +103,24 @@
 	return out
 }
 
+// Total is one count.
+type Total struct {
+	CounterKey
+	Count uint64
+}
+
+// Sorted returns all counts in order of name and reason.
+func (m *Metrics) Sorted() []Total {
+	var out []Total
+	for k, n := range m.Totals() {
+		out = append(out, Total{CounterKey: k, Count: n})
+	}
+	slices.SortFunc(out, func(a, b Total) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Reason, b.Reason))
+	})
+	return out
+}
+
 // Gauge registers a gauge that is read at each scrape.
 func (m *Metrics) Gauge(name string, read func() int64) error {
 	_, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(
