--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -73,7 +73,8 @@
 	StatusOnly bool `json:"status_only,omitempty"`
 }
 
-// DrainResult tells what is left to do before the agent may stop.
+// DrainResult tells what is left to do before the agent may stop. State is
+// "leaving" also while a decision file drains the target.
 type DrainResult struct {
 	State  string `json:"state"`
 	Flows  int    `json:"flows"`
--- a/internal/config/field.go
+++ b/internal/config/field.go
@@ -119,3 +119,6 @@
 // idempotentMethods are the methods that may be listed. RFC 9110 defines POST,
 // PATCH and CONNECT as not idempotent; resending one could run it twice.
 var idempotentMethods = []string{"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
+
+// StorePrefix is the folder of the object store that holds the decision files.
+const StorePrefix = "decisions/"
