--- a/internal/flows/ask.go
+++ b/internal/flows/ask.go
@@ -41,6 +41,8 @@
 }
 
 // outranks reports whether a goes on when a and b open the same flow at once.
+// Views and weights play no part, so that both decide alike. With equal weights
+// the home wins, because it is ranked by the same hash.
 func outranks(hash uint64, a, b model.NodeID) bool {
 	ha, hb := model.Mix(hash^model.HashString(string(a))), model.Mix(hash^model.HashString(string(b)))
 	if ha != hb {
--- a/internal/flows/history_test.go
+++ b/internal/flows/history_test.go
@@ -9,6 +9,9 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 )
 
+// simAddressWait is above the greatest lag of an agent's view in the histories.
+const simAddressWait = 4500 * time.Millisecond
+
 type recordKind string
 
 const (
@@ -136,6 +139,10 @@
 	}
 }
 
+func (s *sim) newCore(m model.Member) *Core {
+	return New(Options{Self: m.ID, Service: m.Service, Seed: s.rng.Uint64(), AddressWait: simAddressWait})
+}
+
 // restart brings a crashed agent back under its ID with a new incarnation.
 func (s *sim) restart(a *simAgent) {
 	a.down, a.version = false, 0
--- a/internal/flows/register.go
+++ b/internal/flows/register.go
@@ -10,9 +10,11 @@
 
 const (
 	// flushDelay is how long flows wait for a fuller batch. Most of the cost of a
-	// small batch is its envelope and its acknowledgement. It must stay well
-	// under tentativeTime and the settle time.
-	flushDelay = time.Second
+	// small batch is its envelope and its acknowledgement. It must stay well under
+	// tentativeTime. Flows that a rescan queued do not wait. A late release only
+	// costs a hop, so releases wait longer.
+	flushDelay        = 2 * time.Second
+	releaseFlushDelay = 6 * time.Second
 	// batchBytes leaves room for the envelope in a datagram of 1,400 bytes.
 	// flowBytes4 and flowBytes6 estimate an encoded flow.
 	batchBytes = 1100
@@ -125,6 +127,9 @@
 	for range rescanChunk {
 		if c.rescanAt >= len(c.held.slots) {
 			c.rescanAt = -1
+			for _, p := range c.peerOrder {
+				p.registerSince = time.Time{}
+			}
 			return
 		}
 		if s := &c.held.slots[c.rescanAt]; s.used {
@@ -161,16 +166,16 @@
 
 // flush sends one batch when it is full or its flows have waited long enough.
 func (c *Core) flush(now time.Time, p *peer, release bool) bool {
-	queue, since := &p.register, p.registerSince
+	queue, since, delay := &p.register, p.registerSince, flushDelay
 	if release {
-		queue, since = &p.release, p.releaseSince
+		queue, since, delay = &p.release, p.releaseSince, releaseFlushDelay
 	}
 	n, size := 0, 0
 	for n < len(*queue) && size < batchBytes {
 		size += flowBytes((*queue)[n])
 		n++
 	}
-	if n == 0 || size < batchBytes && now.Sub(since) < flushDelay {
+	if n == 0 || size < batchBytes && now.Sub(since) < delay {
 		return false
 	}
 	flows := c.current(p, (*queue)[:n:n], release)
