front: run keyed requests through the idempotency records

A keyed, non-idempotent request asks its homes first, then admission. Refusals before the homes were asked say unknown, because an earlier send of the key may have run.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -70,6 +70,9 @@
 }
 
 func (f *Front) sendToTarget(req *request) result {
+	if !f.o.Now().Before(req.arrive.Deadline) { // the process may have been paused
+		return result{outcome: message.OutcomeNotRun, status: http.StatusServiceUnavailable, reason: admission.ReasonDeadlinePassed.String()}
+	}
 	ctx, answered, cancel := f.untilAnswer(req)
 	defer cancel()
 	out, connected := f.outgoing(ctx, req, f.o.Target.Host)
@@ -173,6 +176,7 @@
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := resp.Body.Read(buf)
+		req.keep(resp.StatusCode, resp.Header, buf[:n], err == io.EOF)
 		if n > 0 {
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return false
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/admission"
+	"github.com/bulrushshelf/bulrushshelf/internal/keys"
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/ring"
@@ -28,7 +29,7 @@
 	defaultMaxRequests = 4096
 	// eventsPerRequest is more than the events a request can have in the ring at
 	// once, so that the end of a request is never dropped.
-	eventsPerRequest = 4
+	eventsPerRequest = 6
 	// peerEvents bounds the peer messages waiting for the loop.
 	peerEvents = 4096
 	// headerTimeout bounds the time a caller takes to send a request's header.
@@ -60,6 +61,13 @@
 	// RequestAddr returns the address of a peer's PeerListener. If it is nil, the
 	// address comes from the view.
 	RequestAddr func(model.NodeID) (netip.AddrPort, bool)
+	// Homes ranks the homes of idempotency keys. If it has an Apply method, as
+	// placement.Table has, the loop gives it each view. The loop owns it. Without
+	// Homes, keys have no effect and each send of a request runs at most once.
+	Homes keys.Homes
+	// KeysOpen is a time before which no request of the service can have run;
+	// see keys.Options.Opens. Zero if there is none.
+	KeysOpen time.Time
 	// MACKeys returns the keys that authenticate moved requests. The first signs,
 	// all of them verify, so that keys can be rotated.
 	MACKeys func() [][]byte
@@ -94,6 +102,8 @@
 	// Owned by the loop.
 	core     *admission.Core
 	requests map[admission.RequestID]*request
+	keys     *keys.Core // nil without Homes
+	keyed    map[uint64]*request
 }
 
 // requestEvent is an event of one request. Arrivals and ends share one ring, so
@@ -101,6 +111,7 @@
 type requestEvent struct {
 	req *request // set on arrival
 	ev  admission.Event
+	key keys.Event
 }
 
 type peerMessage struct {
@@ -126,10 +137,14 @@
 		o: o, target: newClient(), peers: newClient(), nonces: newNonceCache(),
 		wake:     make(chan struct{}, 1),
 		requests: make(map[admission.RequestID]*request),
+		keyed:    make(map[uint64]*request),
 		core: admission.New(admission.Options{
 			Self: o.Self, Slots: o.Slots, Warmup: o.Warmup, Seed: o.Seed, MaxRequests: o.MaxRequests,
 		}),
 	}
+	if o.Homes != nil {
+		f.keys = keys.New(keys.Options{Self: o.Self, Service: o.Service, Homes: o.Homes, Opens: o.KeysOpen, MaxAttempts: o.MaxRequests})
+	}
 	f.events = ring.New[requestEvent](eventsPerRequest*o.MaxRequests, func() { f.count("front_events_dropped", "request") })
 	f.incoming = ring.New[peerMessage](peerEvents, func() { f.count("front_events_dropped", "peer_message") })
 	f.view.Store(&model.ServiceView{Service: o.Service, Policy: model.DefaultPolicy()})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -50,6 +50,11 @@
 
 // newCluster starts one agent with one slot for each target.
 func newCluster(t *testing.T, targets ...*url.URL) *cluster {
+	t.Helper()
+	return newClusterWith(t, func(*Options) {}, targets...)
+}
+
+func newClusterWith(t *testing.T, edit func(*Options), targets ...*url.URL) *cluster {
 	t.Helper()
 	is := is.New(t)
 	c := &cluster{fronts: make(map[model.NodeID]*Front)}
@@ -62,10 +67,12 @@
 		id := model.NodeID(fmt.Sprint("agent-", i))
 		metrics, err := telemetry.NewMetrics("test")
 		is.NoErr(err)
-		f, err := New(Options{
+		o := Options{
 			Self: id, Service: "dispatch", Listener: ln, PeerListener: peerLn, Target: target, Slots: 1,
 			Peers: clusterPeers{c, id}, MACKeys: func() [][]byte { return [][]byte{testKey} }, Metrics: metrics,
-		})
+		}
+		edit(&o)
+		f, err := New(o)
 		is.NoErr(err)
 		c.fronts[id] = f
 		c.all = append(c.all, f)
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/admission"
+	"github.com/bulrushshelf/bulrushshelf/internal/keys"
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 )
@@ -21,10 +22,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-f.events.Items():
-			if e.req != nil {
-				f.requests[e.req.id] = e.req
-			}
-			f.step(e.ev)
+			f.takeEvent(e)
 		case in := <-f.incoming.Items():
 			f.receive(in)
 		case <-f.wake:
@@ -33,10 +31,11 @@
 			f.news = nil
 			f.mu.Unlock()
 			for _, ev := range news {
-				f.step(ev)
+				f.takeNews(ev)
 			}
 		case <-timer.C:
 			f.step(admission.Tick{})
+			f.stepKeys(keys.Tick{})
 		}
 		timer.Reset(f.untilTick())
 		load := f.core.Load()
@@ -44,8 +43,37 @@
 	}
 }
 
+func (f *Front) takeEvent(e requestEvent) {
+	if e.key != nil {
+		if e.req != nil {
+			f.keyed[uint64(e.req.id)] = e.req
+		}
+		f.stepKeys(e.key)
+		return
+	}
+	if e.req != nil {
+		f.requests[e.req.id] = e.req
+	}
+	f.step(e.ev)
+}
+
+func (f *Front) takeNews(ev admission.Event) {
+	f.step(ev)
+	if e, ok := ev.(admission.ViewChanged); ok {
+		if homes, ok := f.o.Homes.(viewApplier); ok {
+			homes.Apply(f.o.Now(), e.View)
+		}
+		f.stepKeys(keys.ViewChanged{View: e.View})
+	}
+}
+
 func (f *Front) untilTick() time.Duration {
 	next := f.core.Next()
+	if f.keys != nil {
+		if due := f.keys.Next(); next.IsZero() || due.Before(next) {
+			next = due
+		}
+	}
 	if next.IsZero() {
 		return idleTick
 	}
@@ -60,6 +88,8 @@
 		f.step(admission.ReserveReply{From: in.from, ID: m.ID, Granted: m.Granted, Waiting: m.Waiting, Load: m.Load})
 	case message.LoadReport:
 		f.step(admission.PeerLoad{Node: in.from, Load: m.Load})
+	case message.KeyBegin, message.KeyReply, message.KeyDone, message.KeyDoneAck, message.KeyPull, message.KeyCopy:
+		f.stepKeys(keys.Received{From: in.from, Msg: m})
 	default:
 		f.count("front_events_dropped", "unexpected_message")
 	}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/admission"
+	"github.com/bulrushshelf/bulrushshelf/internal/keys"
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 )
 
@@ -39,6 +40,12 @@
 	explicit   bool          // the caller set the deadline
 	idempotent bool
 	commands   chan admission.Action
+
+	// Of a keyed request only.
+	keyCommands chan keys.Action
+	outcome     message.Outcome
+	answer      *message.Answer
+	tooLarge    bool
 }
 
 func (f *Front) serveCaller(w http.ResponseWriter, r *http.Request) {
@@ -54,16 +61,16 @@
 	}
 	switch {
 	case f.stopping.Load():
-		f.refuse(w, http.StatusServiceUnavailable, reasonStopping, time.Second)
+		f.refuseEarly(w, r, http.StatusServiceUnavailable, reasonStopping, time.Second)
 		return
 	case n > int64(f.o.MaxRequests):
-		f.refuse(w, http.StatusServiceUnavailable, admission.ReasonTooManyRequests.String(), time.Second)
+		f.refuseEarly(w, r, http.StatusServiceUnavailable, admission.ReasonTooManyRequests.String(), time.Second)
 		return
 	}
 	policy := f.view.Load().Policy
 	within, err := requestDeadline(r.Header, policy.Deadline)
 	if err != nil {
-		f.refuse(w, http.StatusBadRequest, reasonBadDeadline, 0)
+		f.refuseEarly(w, r, http.StatusBadRequest, reasonBadDeadline, 0)
 		return
 	}
 	req := &request{
@@ -78,9 +85,24 @@
 	req.arrive.ID = req.id
 	req.arrive.Deadline = f.o.Now().Add(within)
 	req.arrive.Idempotent = req.idempotent
+	if key := f.keyOf(req); key != "" {
+		req.keyCommands = make(chan keys.Action, 1)
+		f.serveKeyed(req, key)
+		return
+	}
 	f.admit(req)
 }
 
+// refuseEarly answers before anything is known of the request. An earlier send
+// of the same key may have run.
+func (f *Front) refuseEarly(w http.ResponseWriter, r *http.Request, status int, reason string, retryAfter time.Duration) {
+	o := message.OutcomeNotRun
+	if f.keys != nil && r.Header.Get(HeaderIdempotencyKey) != "" {
+		o = message.OutcomeUnknown
+	}
+	f.answerError(w, status, o, reason, retryAfter)
+}
+
 // admit hands the request to the admission core and carries out its decisions.
 func (f *Front) admit(req *request) {
 	if !f.events.Put(requestEvent{req: req, ev: req.arrive}) {
@@ -112,15 +134,19 @@
 		if x.Outcome == message.OutcomeUnknown {
 			status = http.StatusBadGateway
 		}
+		req.outcome = x.Outcome
 		f.answerError(req.out, status, x.Outcome, x.Reason.String(), x.RetryAfter)
 		return true
 	case admission.Run:
+		req.outcome = message.OutcomeUnknown
 		res = f.sendToTarget(req)
 	case admission.MoveTo:
+		req.outcome = message.OutcomeUnknown
 		res = f.sendToPeer(req, x)
 	default:
 		return false
 	}
+	req.outcome = res.outcome
 	f.report(admission.Finished{ID: req.id, Outcome: res.outcome, Shed: res.shed, SafeToMove: res.again})
 	if res.again {
 		return false
