--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/jsonrpc2"
@@ -23,11 +25,16 @@
 	ReasonBusy      = "too_many_connections"
 	ReasonMethod    = "unknown_method"
 	ReasonParams    = "bad_params"
+	ReasonAccept    = "accept_failed"
 )
 
 // maxConns bounds the connections of one node, authenticated or not.
 const maxConns = 32
 
+// acceptPause is the wait after a failed accept, which may mean that the
+// process has no free file descriptor; that must not end the node.
+const acceptPause = 100 * time.Millisecond
+
 // The codes of errors, besides those of JSON-RPC.
 const (
 	codeNotFound       = -32001
@@ -67,7 +74,12 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			return trace.Wrap(err, "admin endpoint")
+			if errors.Is(err, net.ErrClosed) {
+				return trace.Wrap(err, "admin endpoint")
+			}
+			s.counter.Count(CounterRefused, ReasonAccept, 1)
+			time.Sleep(acceptPause)
+			continue
 		}
 		select {
 		case slots <- struct{}{}:
--- a/internal/ctl/nodes.go
+++ b/internal/ctl/nodes.go
@@ -135,7 +135,10 @@
 		return err
 	}
 	if before.snapshot.Target(model.NodeID(target)).Drain {
-		c.printf("target %s is drained already\n", target)
+		err := c.print(changeReport{Outcome: "drained_already"}, func() { c.printf("target %s is drained already\n", target) })
+		if err != nil {
+			return err
+		}
 	} else {
 		name := c.Name
 		if name == "" {
