--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -173,6 +173,31 @@
 	is.Equal(c.Busy(), 8)
 }
 
+// Guards against a request that waits although it cannot start in time, and
+// against an estimate that refuses one that can.
+func TestFaultCannotStartByDeadline(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := New(Options{Slots: 1})
+	arrive := func(id RequestID, within time.Duration) Action {
+		if out := c.Step(now, Arrive{ID: id, Deadline: now.Add(within), FirstSend: true}); len(out) > 0 {
+			return out[0]
+		}
+		return nil
+	}
+	arrive(1, time.Second)
+	now = now.Add(100 * time.Millisecond) // the service time observed
+	c.Step(now, Finished{ID: 1, Outcome: message.OutcomeRan})
+	is.Equal(arrive(2, time.Second), Run{ID: 2})
+	is.Equal(arrive(3, time.Second), nil) // waits
+	refused, ok := arrive(4, 250*time.Millisecond).(Refuse)
+	is.True(ok)
+	is.Equal(refused.Reason, ReasonCannotStart)
+	is.Equal(refused.Outcome, message.OutcomeNotRun)
+	is.Equal(arrive(5, 350*time.Millisecond), nil)
+	is.True(!c.Next().After(now.Add(350 * time.Millisecond))) // a tick is due at the deadline
+}
+
 // Golden session: the actions for work beyond the slot, a late grant of a peer,
 // a shed answer and a refusal.
 func TestGoldenSession(t *testing.T) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -182,15 +182,17 @@
 		}
 	}()
 	c := newCluster(t, &url.URL{Scheme: "http", Host: ln.Addr().String()})
-	for _, body := range []string{"", "order"} {
-		for _, key := range []string{"", "k1"} {
-			do(t, "GET", c.urls[0]+"/warm", "")
-			runs.Store(0)
-			header := []string{"X-Idempotency-Key", key} // also makes net/http replay
-			resp, _ := do(t, "POST", c.urls[0]+"/confirm", body, header...)
-			is.Equal(runs.Load(), int64(1)) // sent exactly once
-			is.Equal(resp.StatusCode, http.StatusBadGateway)
-			is.Equal(resp.Header.Get(HeaderOutcome), "unknown")
+	for _, method := range []string{"POST", "GET"} { // net/http would resend a GET without keys too
+		for _, body := range []string{"", "order"} {
+			for _, key := range []string{"", "k1"} {
+				do(t, "GET", c.urls[0]+"/warm", "")
+				runs.Store(0)
+				header := []string{"X-Idempotency-Key", key} // also makes net/http replay
+				resp, _ := do(t, method, c.urls[0]+"/confirm", body, header...)
+				is.Equal(runs.Load(), int64(1)) // sent exactly once
+				is.Equal(resp.StatusCode, http.StatusBadGateway)
+				is.Equal(resp.Header.Get(HeaderOutcome), "unknown")
+			}
 		}
 	}
 }
