keys: test that the homes of a former view are asked

Asking only the current homes made no test fail: coverage alone keeps keys from running twice. The former homes are what gives an answer while the view is unsettled, which the new test checks.

--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -192,6 +193,34 @@
 	}
 }
 
+// Guards against an unknown while the view is unsettled: the homes of the view
+// before still know the key, and the new ones copy it from them.
+func TestFaultBothHomesLeave(t *testing.T) {
+	is := is.New(t)
+	s := quiet(5)
+	key, first := ranKey(t, s, 0, false)
+	homes := s.agents[0].homes.Joint(s.now, bucketHash(s.view.Service, bucketOf(s.view.Service, key)), 2)[0]
+	asker := 0
+	for simID(asker) == homes[0] || simID(asker) == homes[1] {
+		asker++
+	}
+	members := slices.Clone(s.view.Members)
+	for i := range members {
+		if slices.Contains(homes, members[i].ID) {
+			members[i].State, members[i].Seq = model.StateLeaving, 1
+		}
+	}
+	s.view.Members = members
+	for i := range s.agents {
+		s.learn(i, s.random(time.Second))
+	}
+	s.runUntil(s.now.Sub(s.start) + 2*time.Second)
+	is.True(!s.agents[asker].homes.Settled(s.now))
+	is.Equal(s.sendAt(asker, key, time.Second).replay, first.run)
+	s.runUntil(s.now.Sub(s.start) + 20*time.Second)
+	is.Equal(s.sendAt(asker, key, time.Second).replay, first.run) // by the new homes
+}
+
 // Guards against a run whose runner died being started again.
 func TestFaultRunnerDies(t *testing.T) {
 	is := is.New(t)
