Hand over new flows only on the fast path

After an ask the candidates have recorded the asker as tentative holder. An asked flow is now opened where it was asked for.

--- a/internal/flows/ask.go
+++ b/internal/flows/ask.go
@@ -260,9 +260,15 @@
 		}
 		return
 	}
+	// After an ask the flow is not handed over: the candidates have recorded this
+	// agent as tentative holder and would pass the packet back.
+	if c.atLimit() {
+		c.dropAll(a.packets, ReasonFlowLimit)
+		return
+	}
 	// The stack needs the opening packet first.
 	a.packets[0], a.packets[i] = a.packets[i], a.packets[0]
-	c.openOrHandOver(now, a.flow, a.hash, a.packets)
+	c.open(now, a.flow, a.hash, a.packets)
 }
 
 // refuseUnknown answers non-opening packets of a flow that nobody holds. A
--- a/internal/flows/balance.go
+++ b/internal/flows/balance.go
@@ -80,24 +80,33 @@
 	}
 }
 
-// openOrHandOver opens a flow here or gives it to a less loaded partner.
-func (c *Core) openOrHandOver(now time.Time, f model.Flow, hash uint64, packets []Packet) {
+// openOrHandOver opens a flow on the fast path here or gives it to a less
+// loaded partner. The partner opens it unless it has recorded another agent as
+// tentative holder meanwhile.
+func (c *Core) openOrHandOver(now time.Time, p Packet, hash uint64) {
 	to, ok := c.choose(now)
 	switch {
 	case !ok:
-		c.dropAll(packets, ReasonFlowLimit)
-	case to == nil:
-		c.open(now, f, hash, packets)
-	case packets[0].Hops == 0 && !c.atLimit():
-		c.open(now, f, hash, packets)
+		c.emit(Drop{p.Ref, ReasonFlowLimit})
+	case to == nil, p.Hops == 0 && !c.atLimit():
+		c.open(now, p.Flow, hash, []Packet{p})
 	default:
+		to.handedOver += c.homes(now)
 		c.emit(Count{ReasonHandedOver})
-		e := c.remember(now, hash, f, to.id, to.inc, tentativeTime)
-		e.assigned = true
-		for _, p := range packets {
-			c.pass(now, p, to.id, c.isOpening(p))
+		c.remember(now, hash, p.Flow, to.id, to.inc, tentativeTime).assigned = true
+		c.pass(now, p, to.id, true)
+	}
+}
+
+// homes returns the number of agents that may hand flows to the same partners.
+func (c *Core) homes(now time.Time) float64 {
+	n := 1.0
+	for _, p := range c.partners {
+		if c.table.Weight(now, p.id) > 0 {
+			n++
 		}
 	}
+	return n
 }
 
 // choose returns the partner to hand a new flow to, nil for this agent itself,
@@ -121,12 +130,6 @@
 	if !math.IsInf(own, 1) {
 		bestLoad -= max(handOverMin/ownWeight, handOverShare*own)
 	}
-	homes := 1.0
-	for _, p := range c.partners {
-		if c.table.Weight(now, p.id) > 0 {
-			homes++
-		}
-	}
 	for _, p := range c.partners {
 		w := c.table.Weight(now, p.id)
 		m, _ := c.table.Member(p.id)
@@ -138,8 +141,5 @@
 			best, bestLoad = p, l
 		}
 	}
-	if best != nil {
-		best.handedOver += homes
-	}
 	return best, best != nil || !math.IsInf(own, 1)
 }
--- a/internal/flows/core.go
+++ b/internal/flows/core.go
@@ -208,9 +208,6 @@
 	returned := false
 	if e := c.lookup(now, hash, p.Flow); e != nil {
 		switch {
-		case e.holder == p.From && p.Assigned && c.isOpening(p):
-			// The agent that won the opening of the flow gives it to this one.
-			c.exceptions.remove(hash, p.Flow)
 		case e.holder == p.From, p.Hops == 0 && !e.registered:
 			// The believed holder passed the packet here, so it does not hold the
 			// flow, or outdated entries of several agents form a loop.
@@ -249,7 +246,7 @@
 		}
 		c.open(now, p.Flow, hash, []Packet{p})
 	case !returned && p.ViewHash == c.table.Fingerprint() && c.table.HomeSettled(now, hash):
-		c.openOrHandOver(now, p.Flow, hash, []Packet{p})
+		c.openOrHandOver(now, p, hash)
 	default:
 		c.startAsk(now, p)
 	}
