Add a revision to service views

A view that changed and changed back looks unchanged to a node that missed the view between. The revision tells them apart. Views without one stay at 0.

--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -198,6 +198,12 @@
 	Addrs   []ServiceAddr
 	Members []Member
 	Policy  ServicePolicy
+
+	// Rev rises with each configuration change that affects the service, also
+	// with one that restores earlier values, so that a node that saw only the
+	// views before and after two opposite changes knows that there were changes.
+	// It is not part of the fingerprint.
+	Rev uint64
 }
 
 // Fingerprint is equal for views that rank targets alike: it covers the IDs,
