Restart the settle time on a new revision of a service

Two nodes that each missed one half of several quick reversals took different views for settled. A change of ServiceView.Rev now counts as a view change.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -63,6 +63,7 @@
 // view is the ranking of one period.
 type view struct {
 	since, until time.Time // until is zero for the view in effect
+	rev          uint64
 	policy       model.ServicePolicy
 	members      []ranked
 }
@@ -86,7 +87,8 @@
 
 // Apply makes v the current view. Only changes that rankings depend on restart
 // the settle time: members, their incarnations, states, weights and start
-// times, and the length of the warm-up. The table keeps v's slices.
+// times, the length of the warm-up, and the revision, which tells of changes
+// that were reversed before this node saw them. The table keeps v's slices.
 func (t *Table) Apply(now time.Time, v model.ServiceView) {
 	members := make([]model.Member, 0, len(v.Members))
 	for _, m := range v.Members {
@@ -99,7 +101,7 @@
 	t.current = v
 	t.fingerprint = v.Fingerprint()
 
-	next := view{since: now, policy: model.ServicePolicy{Warmup: v.Policy.Warmup}}
+	next := view{since: now, rev: v.Rev, policy: model.ServicePolicy{Warmup: v.Policy.Warmup}}
 	for i := range members {
 		m := &members[i]
 		next.members = append(next.members, ranked{
@@ -123,7 +125,7 @@
 }
 
 func (v view) same(w view) bool {
-	return v.policy.Warmup == w.policy.Warmup && slices.EqualFunc(v.members, w.members, func(a, b ranked) bool {
+	return v.rev == w.rev && v.policy.Warmup == w.policy.Warmup && slices.EqualFunc(v.members, w.members, func(a, b ranked) bool {
 		return a.id == b.id && a.inc == b.inc && a.state == b.state && a.weight == b.weight && a.started.Equal(b.started)
 	})
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -57,11 +57,16 @@
 	moved.Members[0].Seq = 9
 	tab.Apply(at(13*time.Second), moved)
 	is.True(tab.Settled(at(13 * time.Second))) // rankings do not depend on these fields
+	moved.Rev = 1
+	tab.Apply(at(13*time.Second), moved)
+	is.True(!tab.Settled(at(14 * time.Second))) // two opposite changes may lie between
+	contacts(tab, 14*time.Second, 18*time.Second)
+	is.True(tab.Settled(at(18 * time.Second)))
 	moved.Members[0].State = model.StateLeaving
 	moved.Members = slices.Clone(moved.Members)
 	moved.Members[0].Incarnation = 2
-	tab.Apply(at(13*time.Second), moved)
-	is.True(!tab.Settled(at(14 * time.Second)))
+	tab.Apply(at(18*time.Second), moved)
+	is.True(!tab.Settled(at(19 * time.Second)))
 }
 
 // Guards against two nodes whose clocks differ and that both take the fast
