Redirect opening packets before an ask instead of after it

A balancer's opening packet now goes to the less loaded partner first, which asks; nothing is recorded before. In the driver, a crashed agent loses its waiting packets and an older held-address announcement no longer replaces a newer one.

--- a/internal/flows/balance.go
+++ b/internal/flows/balance.go
@@ -98,6 +98,22 @@
 	}
 }
 
+// redirect passes a balancer's opening packet to a less loaded partner, which
+// asks in place of this agent. Nothing is recorded here before it asks.
+func (c *Core) redirect(now time.Time, p Packet) bool {
+	if _, agent := c.table.Member(p.From); agent || p.Hops == 0 {
+		return false
+	}
+	to, ok := c.choose(now)
+	if !ok || to == nil {
+		return false
+	}
+	to.handedOver += c.homes(now)
+	c.emit(Count{ReasonHandedOver})
+	c.pass(now, p, to.id, false)
+	return true
+}
+
 // homes returns the number of agents that may hand flows to the same partners.
 func (c *Core) homes(now time.Time) float64 {
 	n := 1.0
--- a/internal/flows/core.go
+++ b/internal/flows/core.go
@@ -247,7 +247,7 @@
 		c.open(now, p.Flow, hash, []Packet{p})
 	case !returned && p.ViewHash == c.table.Fingerprint() && c.table.HomeSettled(now, hash):
 		c.openOrHandOver(now, p, hash)
-	default:
+	case returned || !c.redirect(now, p):
 		c.startAsk(now, p)
 	}
 }
--- a/internal/flows/history_test.go
+++ b/internal/flows/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -124,10 +125,31 @@
 	}
 }
 
-// crash stops an agent at once. Observers suspect it after 3 s and remove it
+func (s *sim) random(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d) + 1)) }
+
+// simPacket is a packet that an agent has not ended yet.
+type simPacket struct {
+	Packet
+	at *simAgent
+}
+
+// announce tells the balancers the held addresses of an agent after a delay.
+// Like any member record, an older announcement does not replace a newer one.
+func (s *sim) announce(a *simAgent, addrs []model.ServiceAddr) {
+	a.heldSeq[0]++
+	seq := a.heldSeq[0]
+	s.after(s.random(2*time.Second), func() {
+		if seq > a.heldSeq[1] {
+			a.heldSeq[1], a.held = seq, addrs
+		}
+	})
+}
+
+// crash stops an agent at once, with the packets that wait in it. Observers suspect it after 3 s and remove it
 // after 13 s unless it restarts.
 func (s *sim) crash(a *simAgent) {
 	a.down = true
+	maps.DeleteFunc(s.packets, func(_ Ref, p simPacket) bool { return p.at == a })
 	s.record(recCrash, model.Flow{}, a)
 	for state, wait := range map[model.State]time.Duration{model.StateSuspect: 3 * time.Second, model.StateGone: 13 * time.Second} {
 		s.after(wait, func() {
--- a/internal/flows/sim_test.go
+++ b/internal/flows/sim_test.go
@@ -23,7 +23,7 @@
 	agents       []*simAgent
 	balancers    []*simBalancer
 	callers      map[model.Flow]*caller
-	packets      map[Ref]Packet // not ended yet
+	packets      map[Ref]simPacket // not ended yet
 	history      []record
 	counts       map[Reason]int
 	controlBytes int
@@ -43,7 +43,8 @@
 	member  model.Member
 	down    bool
 	version int
-	held    []model.ServiceAddr // as announced
+	held    []model.ServiceAddr // as the balancers know it
+	heldSeq [2]int              // announced, known
 }
 
 type simBalancer struct {
@@ -86,7 +87,7 @@
 // newSim starts services of the given numbers of targets, one address each.
 func newSim(seed uint64, targets ...int) *sim {
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, callers: map[model.Flow]*caller{},
-		packets: map[Ref]Packet{}, counts: map[Reason]int{}, askOpening: true, patience: 20 * time.Second}
+		packets: map[Ref]simPacket{}, counts: map[Reason]int{}, askOpening: true, patience: 20 * time.Second}
 	for i, n := range targets {
 		svc := model.ServiceName(fmt.Sprint("s", i))
 		s.views = append(s.views, model.ServiceView{Service: svc, Addrs: []model.ServiceAddr{addr(i)}, Policy: model.DefaultPolicy()})
@@ -127,8 +128,6 @@
 	}
 }
 
-func (s *sim) random(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d) + 1)) }
-
 // start adds an agent; the caller publishes it.
 func (s *sim) start(service int, started time.Time) *simAgent {
 	v := &s.views[service]
@@ -158,6 +157,9 @@
 func (s *sim) publish() {
 	s.version++
 	version, views := s.version, slices.Clone(s.views)
+	for i := range views {
+		views[i].Rev = uint64(version)
+	}
 	for _, a := range s.agents {
 		s.after(s.random(s.agentLag), func() {
 			for _, v := range views {
@@ -193,10 +195,8 @@
 }
 
 func (s *sim) agent(id model.NodeID) *simAgent {
-	for _, a := range s.agents {
-		if a.member.ID == id {
-			return a
-		}
+	if i := slices.IndexFunc(s.agents, func(a *simAgent) bool { return a.member.ID == id }); i >= 0 {
+		return s.agents[i]
 	}
 	return nil
 }
@@ -233,7 +233,7 @@
 				}
 			})
 		case HeldAddrs:
-			s.after(s.random(2*time.Second), func() { a.held = act.Addrs })
+			s.announce(a, act.Addrs)
 		case Count:
 			s.counts[act.Reason]++
 		}
@@ -258,7 +258,7 @@
 		if a := s.agent(to); a != nil && !a.down {
 			s.seq++
 			p.Ref = Ref(s.seq)
-			s.packets[p.Ref] = p
+			s.packets[p.Ref] = simPacket{p, a}
 			s.step(a, p)
 		}
 	})
@@ -267,10 +267,11 @@
 // end checks that a Ref ends once.
 func (s *sim) end(r Ref) Packet {
 	p, ok := s.packets[r]
-	if delete(s.packets, r); !ok {
+	if !ok {
 		panic(fmt.Sprintf("packet %d ended twice", r))
 	}
-	return p
+	delete(s.packets, r)
+	return p.Packet
 }
 
 // route sends a caller's packet through a random balancer.
