--- a/internal/flows/ask.go
+++ b/internal/flows/ask.go
@@ -27,17 +27,19 @@
 	opening bool // this agent opens the flow when nobody holds it
 	ended   bool
 	partial bool // there were more candidates than maxCandidates
-	packets []Packet
-	asked   []asked
-	sent    int
-	due     time.Time
+	// returned was the believed holder until it passed a packet back.
+	returned model.NodeID
+	packets  []Packet
+	asked    []asked
+	sent     int
+	due      time.Time
 }
 
 // asked is one agent of an ask.
 type asked struct {
 	id      model.NodeID
 	denied  bool // it answered that it does not hold the flow
-	claimed bool // another agent named it as the holder
+	claimed bool // another agent named it as the holder, or it was the believed one
 }
 
 // outranks reports whether a goes on when a and b open the same flow at once.
@@ -51,13 +53,15 @@
 	return a > b
 }
 
-// startAsk asks all candidates about the flow of a packet.
-func (c *Core) startAsk(now time.Time, p Packet) {
+// startAsk asks all candidates about the flow of a packet. The agent returned,
+// if any, was the believed holder. It may open the flow meanwhile, so its
+// silence does not let this agent open it.
+func (c *Core) startAsk(now time.Time, p Packet, returned model.NodeID) {
 	if len(c.asks) >= c.opt.MaxAsks {
 		c.emit(Drop{p.Ref, ReasonAsksFull})
 		return
 	}
-	a := &ask{flow: p.Flow, hash: p.Flow.Hash(), packets: []Packet{p}}
+	a := &ask{flow: p.Flow, hash: p.Flow.Hash(), returned: returned, packets: []Packet{p}}
 	c.asks[p.Flow] = a
 	c.asking = append(c.asking, a)
 	c.sendAsks(now, a, c.isOpening(p))
@@ -75,7 +79,7 @@
 	a.partial = len(ids) == maxCandidates
 	for _, id := range ids {
 		if id != c.opt.Self {
-			a.asked = append(a.asked, asked{id: id})
+			a.asked = append(a.asked, asked{id: id, claimed: id == a.returned})
 			c.sendAsk(a, id)
 		}
 	}
--- a/internal/flows/core.go
+++ b/internal/flows/core.go
@@ -205,15 +205,15 @@
 		c.emit(Drop{p.Ref, ReasonNoView})
 		return
 	}
-	returned := false
+	var returned model.NodeID // a believed holder that does not hold the flow
 	if e := c.lookup(now, hash, p.Flow); e != nil {
 		switch {
 		case e.holder == p.From, p.Hops == 0 && !e.registered:
 			// The believed holder passed the packet here, so it does not hold the
 			// flow, or outdated entries of several agents form a loop.
+			returned = e.holder
 			c.exceptions.remove(hash, p.Flow)
 			c.emit(Count{ReasonReturned})
-			returned = true
 		default:
 			c.pass(now, p, e.holder, e.assigned && c.isOpening(p))
 			return
@@ -228,27 +228,27 @@
 		return
 	}
 	if !c.isOpening(p) {
-		c.startAsk(now, p)
+		c.startAsk(now, p, returned)
 		return
 	}
 	c.onOpening(now, p, hash, returned)
 }
 
 // onOpening handles an opening packet of a flow that nobody is known to hold.
-func (c *Core) onOpening(now time.Time, p Packet, hash uint64, returned bool) {
+func (c *Core) onOpening(now time.Time, p Packet, hash uint64, returned model.NodeID) {
 	switch {
 	case !c.takesFlows(now):
 		c.decline(now, p)
-	case p.Assigned && !returned:
+	case p.Assigned && returned == "":
 		if c.atLimit() {
 			c.decline(now, p)
 			return
 		}
 		c.open(now, p.Flow, hash, []Packet{p})
-	case !returned && p.ViewHash == c.table.Fingerprint() && c.table.HomeSettled(now, hash):
+	case returned == "" && p.ViewHash == c.table.Fingerprint() && c.table.HomeSettled(now, hash):
 		c.openOrHandOver(now, p, hash)
-	case returned || !c.redirect(now, p):
-		c.startAsk(now, p)
+	case returned != "" || !c.redirect(now, p):
+		c.startAsk(now, p, returned)
 	}
 }
 
