Restart both homes of many flows in a service of 20 targets

In a service of up to eight targets an ask reaches each holder, so the test did not notice lost registrations.

--- a/internal/flows/flows_test.go
+++ b/internal/flows/flows_test.go
@@ -159,14 +159,15 @@
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
-			s := started(seed, 7, 3)
-			s.churn(60, 20*time.Second, 60*time.Second)
+			// With 20 targets, a restarted home finds most holders only by their registrations.
+			s := started(seed, 7+13*int(seed), 3)
+			s.churn(60, 30*time.Second, 60*time.Second)
 			s.run(15 * time.Second)
-			for _, a := range []*simAgent{s.agents[4], s.agents[8], s.agents[5]} {
+			for _, a := range s.agents[4 : 6+6*seed] { // both homes of many flows
 				s.crash(a)
-				s.run(s.random(4 * time.Second))
+				s.run(s.random(2 * time.Second))
 				s.restart(a)
-				s.run(5 * time.Second)
+				s.run(4 * time.Second)
 			}
 			s.run(120 * time.Second)
 			s.check(t)
