--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -44,6 +44,7 @@
 	firstAt  map[model.NodeID]time.Time    // unlisted senders
 	incarn   model.Incarnation
 	draining bool
+	viewed   bool
 
 	now time.Time
 	out []Action
@@ -234,9 +235,10 @@
 		c.members[m.ID] = m
 	}
 	c.complete = len(s.Balancers) > 0 && s.AllBalancers
-	if s.FileRev == 0 {
+	if !c.viewed && len(s.View.Addrs) == 0 {
 		return // the observer has no configuration yet
 	}
+	c.viewed = true
 	c.flowStep(flows.ViewChanged{View: s.View})
 	c.out = append(c.out, ViewChanged{View: s.View})
 	if self, ok := c.members[c.announcer.Self().ID]; ok {
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -25,6 +25,9 @@
 const (
 	readyTimeout = 20 * time.Second
 	readyPoll    = 20 * time.Millisecond
+	// keysOpenAfter is when a new deployment takes its first keyed request: the
+	// views have settled by then, and each home covers all keys.
+	keysOpenAfter = 8 * time.Second
 )
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
@@ -70,6 +73,7 @@
 	key     []byte
 	seed    uint64
 	boots   uint64
+	opens   time.Time
 
 	mu        sync.Mutex
 	balancers []*BalancerProc
@@ -89,7 +93,7 @@
 	}
 	c := &Cluster{
 		Spec: spec, Fabric: f, Store: store.New(store.Options{}), logger: logger, metrics: metrics,
-		key: []byte("demo key of the shared secret, 32+ bytes"), seed: seed,
+		key: []byte("demo key of the shared secret, 32+ bytes"), seed: seed, opens: time.Now().Add(keysOpenAfter),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	ln, err := net.Listen("tcp", anyPort.String())
@@ -210,7 +214,7 @@
 			ID: id, DC: dc, Service: svc.Name, Incarnation: model.Incarnation(now.UnixMilli()), PeerAddr: anyPort,
 			RequestAddr: anyPort, Slots: slotsPerHost, MaxFlows: flowsPerHost, Weight: 1, Started: now,
 		},
-		Seeds: c.seeds(), Keys: [][]byte{c.key}, Seed: c.nextSeed(), Return: c.Fabric.ReturnAddr(), Target: t.URL(),
+		Seeds: c.seeds(), Keys: [][]byte{c.key}, Seed: c.nextSeed(), Return: c.Fabric.ReturnAddr(), Target: t.URL(), KeysOpen: c.opens,
 		Metrics: c.metrics, Logger: c.logger.With("node", id),
 	})
 	if err != nil {
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -15,7 +15,7 @@
 	reversals      = 10
 	maxChangeTime  = 3 * time.Second
 	leaveTime      = 2 * time.Second
-	settleTime     = 6 * time.Second // views settle after 5 s
+	warmTraffic    = 2 * time.Second // traffic before the first change
 )
 
 // Options of a run.
@@ -44,6 +44,7 @@
 		return nil, err
 	}
 	c.Fabric.SetFaults(spec.faults())
+	time.Sleep(time.Until(c.opens))
 	t, err := startTraffic(c)
 	if err != nil {
 		return nil, err
@@ -59,7 +60,7 @@
 
 // play changes everything that is planned to change, under traffic.
 func (r *Report) play(c *Cluster, t *traffic, progress func(string, ...any)) error {
-	time.Sleep(settleTime)
+	time.Sleep(warmTraffic)
 	progress("%d feeds open, %d requests so far", t.feedsOpen.Load(), t.requests.Load())
 	if err := r.reverse(c, progress); err != nil {
 		return err
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -49,6 +49,9 @@
 	Intervals membership.Intervals
 	Metrics   *telemetry.Metrics
 	Logger    *log.Logger
+	// KeysOpen is a time before which no keyed request of the service can have
+	// run, see keys.Options.Opens; zero if there is none.
+	KeysOpen time.Time
 	// DrainTimeout bounds the wait for the last flow at a stop; 0 waits for it.
 	DrainTimeout time.Duration
 }
@@ -62,6 +65,7 @@
 	listener  *netstack.Listener
 	requests  net.Listener
 	front     *front.Front
+	homes     *keyHomes
 	out       *net.UDPConn
 
 	packets  *ring.Ring[forwarded]
@@ -139,11 +143,16 @@
 }
 
 func (a *Agent) newFront() (err error) {
+	settle := a.opt.Flows.Settle
+	if settle == 0 {
+		settle = flows.DefaultSettle
+	}
+	a.homes = newKeyHomes(a.opt.Self.ID, settle)
 	a.front, err = front.New(front.Options{
 		Self: a.opt.Self.ID, Service: a.opt.Self.Service,
 		Listener: a.listener, PeerListener: a.requests, Target: a.opt.Target,
 		Slots: a.opt.Self.Slots, Warmup: a.opt.Warmup, Seed: model.Mix(a.opt.Seed + 1),
-		Peers: a, MACKeys: func() [][]byte { return a.opt.Keys },
+		Peers: a, Homes: a.homes, KeysOpen: a.opt.KeysOpen, MACKeys: func() [][]byte { return a.opt.Keys },
 		Metrics: a.opt.Metrics, Logger: a.opt.Logger,
 		ShutdownTimeout: a.opt.DrainTimeout,
 	})
@@ -292,10 +301,14 @@
 		if !a.packets.Put(p) {
 			buf.free()
 		}
+	case message.HeartbeatAck:
+		a.homes.contact(time.Now())
+		a.messages.Put(r)
 	case message.LoadReport:
 		a.front.Deliver(r.env.From, r.env.Msg)
 		a.messages.Put(r)
-	case message.Reserve, message.ReserveReply, message.KeyBegin, message.KeyReply, message.KeyDone, message.KeyDoneAck, message.KeyCopy:
+	case message.Reserve, message.ReserveReply, message.KeyBegin, message.KeyReply, message.KeyDone, message.KeyDoneAck,
+		message.KeyCopy, message.KeyPull:
 		a.front.Deliver(r.env.From, r.env.Msg)
 	default:
 		a.messages.Put(r)
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -35,6 +35,9 @@
 	kindKeyCopy
 	kindProbe
 	kindProbeAck
+	kindReserve
+	kindReserveReply
+	kindKeyPull
 )
 
 type decoder func(cbor.DecMode, []byte) (message.Message, error)
@@ -63,6 +66,9 @@
 	kindKeyCopy:      decode[message.KeyCopy],
 	kindProbe:        decode[message.Probe],
 	kindProbeAck:     decode[message.ProbeAck],
+	kindReserve:      decode[message.Reserve],
+	kindReserveReply: decode[message.ReserveReply],
+	kindKeyPull:      decode[message.KeyPull],
 }
 
 var kinds = map[reflect.Type]kind{
@@ -89,6 +95,9 @@
 	reflect.TypeFor[message.KeyCopy]():      kindKeyCopy,
 	reflect.TypeFor[message.Probe]():        kindProbe,
 	reflect.TypeFor[message.ProbeAck]():     kindProbeAck,
+	reflect.TypeFor[message.Reserve]():      kindReserve,
+	reflect.TypeFor[message.ReserveReply](): kindReserveReply,
+	reflect.TypeFor[message.KeyPull]():      kindKeyPull,
 }
 
 func kindOf(m message.Message) (kind, bool) {
