demo, netstack: stop, crash and replace agents; make keepalive an option

The fault tests need to end agents with and without a word, to run two agents beside one target, and keepalive times of their own for agents and callers. The stand-in callers now probe the other side like callers of an ordinary system: one that only receives would never notice that its agent is gone. Runs of the stand-in target carry the query, so that a test finds a flow's target.

--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -53,6 +53,18 @@
 	ID      model.NodeID
 	Service model.ServiceName
 	Target  *target.Target
+
+	host *host
+}
+
+// Done is closed once the agent has ended.
+func (p *AgentProc) Done() <-chan struct{} { return p.done }
+
+// host is a target, which runs as long as an agent beside it.
+type host struct {
+	target *target.Target
+	stop   context.CancelFunc
+	agents int
 }
 
 // Cluster is a running deployment.
@@ -202,33 +214,79 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, stop := context.WithCancel(context.WithoutCancel(c.ctx))
+	c.spawn(func() error { return t.Run(ctx) })
+	return c.startAgent(svc.Name, id, dc, &host{target: t, stop: stop})
+}
+
+// StartAgentBeside starts another agent beside the target of old, which
+// replaces old once old is stopped.
+func (c *Cluster) StartAgentBeside(old *AgentProc, id model.NodeID) (*AgentProc, error) {
+	return c.startAgent(old.Service, id, old.Self().DC, old.host)
+}
+
+func (c *Cluster) startAgent(service model.ServiceName, id model.NodeID, dc model.DataCentre, h *host) (*AgentProc, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	a, err := node.NewAgent(node.AgentOptions{
 		Self: model.Member{
-			ID: id, DC: dc, Service: svc.Name, Incarnation: model.Incarnation(now.UnixMilli()), PeerAddr: anyPort,
+			ID: id, DC: dc, Service: service, Incarnation: model.Incarnation(now.UnixMilli()), PeerAddr: anyPort,
 			RequestAddr: anyPort, Slots: slotsPerHost, MaxFlows: flowsPerHost, Weight: 1, Started: now,
 		},
-		Seeds: c.seeds(), Keys: [][]byte{c.key}, Seed: c.nextSeed(), Return: c.Fabric.ReturnAddr(), Target: t.URL(),
-		Metrics: c.metrics, Logger: c.logger.With("node", id),
+		Seeds: c.seeds(), Keys: [][]byte{c.key}, Seed: c.nextSeed(), Return: c.Fabric.ReturnAddr(), Target: h.target.URL(),
+		Keepalive: c.Spec.Keepalive,
+		Metrics:   c.metrics, Logger: c.logger.With("node", id),
 	})
 	if err != nil {
+		if h.agents == 0 {
+			h.stop()
+		}
 		return nil, err
 	}
-	p := &AgentProc{Agent: a, ID: id, Service: svc.Name, Target: t}
+	h.agents++
+	p := &AgentProc{Agent: a, ID: id, Service: service, Target: h.target, host: h}
 	p.running = c.start(func(ctx, kill context.Context) error {
-		targetCtx, stopTarget := context.WithCancel(context.WithoutCancel(kill))
-		defer stopTarget()
-		if kill.Err() == nil {
-			c.spawn(func() error { return t.Run(targetCtx) })
-		}
+		defer c.agentEnded(h)
 		return a.Run(ctx, kill)
 	})
 	c.agents = append(c.agents, p)
 	return p, nil
 }
 
+// agentEnded stops a target with the last agent beside it.
+func (c *Cluster) agentEnded(h *host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.agents--; h.agents == 0 {
+		h.stop()
+	}
+}
+
+// StopAgent starts the planned stop of an agent, which ends by itself after its
+// last flow. With crash it ends the agent at once and waits for its end.
+func (c *Cluster) StopAgent(p *AgentProc, crash bool) {
+	if !crash {
+		p.stop(errors.New("planned stop"))
+		return
+	}
+	p.kill(errCrash)
+	<-p.done
+}
+
+// running returns the agents that have not ended; c.mu is held.
+func (c *Cluster) running() []*AgentProc {
+	var out []*AgentProc
+	for _, a := range c.agents {
+		select {
+		case <-a.done:
+		default:
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // StartAll starts the files, n balancers and all targets, and waits until each
 // balancer serves and each service has all its targets everywhere.
 func (c *Cluster) StartAll(n int) error {
@@ -273,15 +331,16 @@
 	if len(c.failures) > 0 {
 		return c.failures[0].Error()
 	}
+	agents := c.running()
 	for _, b := range c.balancers {
 		state, ok := b.State(c.ctx)
-		if !ok || !state.Serving || len(state.Members) != len(c.balancers)+len(c.agents) {
+		if !ok || !state.Serving || len(state.Members) != len(c.balancers)+len(agents) {
 			return fmt.Sprintf("balancer %s serving=%v knows %d members", b.id, state.Serving, len(state.Members))
 		}
 	}
-	for _, a := range c.agents {
+	for _, a := range agents {
 		want := 0
-		for _, other := range c.agents {
+		for _, other := range agents {
 			if other.Service == a.Service {
 				want++
 			}
--- a/internal/demo/spec.go
+++ b/internal/demo/spec.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/netstack"
 	"github.com/bulrushshelf/bulrushshelf/internal/standin/fabric"
 )
 
@@ -20,6 +21,7 @@
 	DCs         []model.DataCentre
 	CallerDelay time.Duration // one way
 	Services    []ServiceSpec
+	Keepalive   netstack.Keepalive // of the agents towards the callers
 }
 
 // ServiceSpec is one service of a deployment.
--- a/internal/netstack/listener.go
+++ b/internal/netstack/listener.go
@@ -74,7 +74,7 @@
 		l.update(flow, func(f *flowState) { f.failed = true })
 		return
 	}
-	setKeepalive(ep)
+	l.s.alive.apply(ep)
 	l.update(flow, func(f *flowState) { f.endpoint = ep })
 	conn := gonet.NewTCPConn(&queue, ep)
 	select {
@@ -84,16 +84,6 @@
 	}
 }
 
-// setKeepalive makes the stack notice callers that went silent.
-func setKeepalive(ep tcpip.Endpoint) {
-	ep.SocketOptions().SetKeepAlive(true)
-	idle := tcpip.KeepaliveIdleOption(keepaliveIdle)
-	every := tcpip.KeepaliveIntervalOption(keepaliveEvery)
-	_ = ep.SetSockOpt(&idle)
-	_ = ep.SetSockOpt(&every)
-	_ = ep.SetSockOptInt(tcpip.KeepaliveCountOption, keepaliveProbes)
-}
-
 func (l *Listener) update(flow model.Flow, change func(*flowState)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/netstack/netstack.go
+++ b/internal/netstack/netstack.go
@@ -4,6 +4,7 @@
 package netstack
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -43,6 +44,31 @@
 	Output func(packet []byte)
 	// Addrs are the stack's own addresses, for dialing.
 	Addrs []netip.Addr
+	// Keepalive of all connections; zero fields get the defaults.
+	Keepalive Keepalive
+}
+
+// Keepalive says how a stack finds out that the other side went silent.
+type Keepalive struct {
+	Idle     time.Duration // from the last segment to the first probe, 20 s
+	Interval time.Duration // between probes, 10 s
+	Probes   int           // without an answer until the connection ends, 3
+}
+
+func (k Keepalive) withDefaults() Keepalive {
+	k.Idle = cmp.Or(k.Idle, keepaliveIdle)
+	k.Interval = cmp.Or(k.Interval, keepaliveEvery)
+	k.Probes = cmp.Or(k.Probes, keepaliveProbes)
+	return k
+}
+
+func (k Keepalive) apply(ep tcpip.Endpoint) {
+	ep.SocketOptions().SetKeepAlive(true)
+	idle := tcpip.KeepaliveIdleOption(k.Idle)
+	every := tcpip.KeepaliveIntervalOption(k.Interval)
+	_ = ep.SetSockOpt(&idle)
+	_ = ep.SetSockOpt(&every)
+	_ = ep.SetSockOptInt(tcpip.KeepaliveCountOption, k.Probes)
 }
 
 // Stack is a TCP/IP stack whose link is a pair of functions.
@@ -50,6 +76,7 @@
 	ns     *stack.Stack
 	link   *channel.Endpoint
 	output func([]byte)
+	alive  Keepalive
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -66,6 +93,7 @@
 		}),
 		link:   channel.New(linkQueueLen, uint32(opts.MTU), ""),
 		output: opts.Output,
+		alive:  opts.Keepalive.withDefaults(),
 		done:   make(chan struct{}),
 	}
 	if err := s.configure(opts.Addrs); err != nil {
@@ -133,8 +161,20 @@
 
 // Dial opens a TCP connection from one of the stack's own addresses.
 func (s *Stack) Dial(ctx context.Context, remote netip.AddrPort) (net.Conn, error) {
-	conn, err := gonet.DialContextTCP(ctx, s.ns, fullAddress(remote), networkProtocol(remote.Addr()))
-	return conn, trace.Wrap(err)
+	proto := networkProtocol(remote.Addr())
+	conn, err := gonet.DialContextTCP(ctx, s.ns, fullAddress(remote), proto)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	local := conn.LocalAddr().(*net.TCPAddr).AddrPort()
+	ep := s.ns.FindTransportEndpoint(proto, tcp.ProtocolNumber, stack.TransportEndpointID{
+		LocalPort: local.Port(), LocalAddress: tcpip.AddrFromSlice(local.Addr().Unmap().AsSlice()),
+		RemotePort: remote.Port(), RemoteAddress: tcpip.AddrFromSlice(remote.Addr().AsSlice()),
+	}, nicID)
+	if ep, ok := ep.(tcpip.Endpoint); ok { // unless the connection has ended already
+		s.alive.apply(ep)
+	}
+	return conn, nil
 }
 
 // Close ends all connections at once and stops the stack.
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -47,6 +47,7 @@
 	Warmup    time.Duration // of the target's slots
 	Flows     flows.Options
 	Intervals membership.Intervals
+	Keepalive netstack.Keepalive // of the callers' connections
 	Metrics   *telemetry.Metrics
 	Logger    *log.Logger
 	// DrainTimeout bounds the wait for the last flow at a stop; 0 waits for it.
@@ -128,7 +129,10 @@
 	if a.requests, err = net.Listen("tcp", a.opt.Self.RequestAddr.String()); err != nil {
 		return trace.Wrap(err, "request address %s", a.opt.Self.RequestAddr)
 	}
-	a.stack, err = netstack.New(netstack.Options{Output: func(p []byte) { _, _ = a.out.Write(p) }})
+	a.stack, err = netstack.New(netstack.Options{
+		Output:    func(p []byte) { _, _ = a.out.Write(p) },
+		Keepalive: a.opt.Keepalive,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -67,6 +67,7 @@
 // Run is one request that the target ran.
 type Run struct {
 	Method, Path, Key string
+	Query             string
 	Started, Ended    time.Time
 	Ending            Ending
 }
@@ -205,7 +206,7 @@
 	id = t.total
 	t.total++
 	if len(t.runs) < maxRuns {
-		t.runs = append(t.runs, Run{Method: r.Method, Path: r.URL.Path, Key: r.Header.Get(headerKey), Started: time.Now()})
+		t.runs = append(t.runs, Run{Method: r.Method, Path: r.URL.Path, Key: r.Header.Get(headerKey), Query: r.URL.RawQuery, Started: time.Now()})
 	}
 	t.note()
 	return id, true
