node, front: end at once when killed

Cause: a killed agent waited in http.Server.Shutdown for its open feeds, whose packets went on to the callers, so that a crash looked like a drain without end. Change: the kill closes the socket to the callers first, so that no end or reset leaves the process, and cuts off the requests in progress.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -69,6 +69,8 @@
 	// ShutdownTimeout bounds the wait for requests in progress after the context
 	// ended; 0 waits until the last one ends.
 	ShutdownTimeout time.Duration
+	// Kill cuts off the requests in progress when it ends; it may be nil.
+	Kill context.Context
 }
 
 // Front serves the requests of one agent.
@@ -122,6 +124,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Kill == nil {
+		o.Kill = context.Background()
+	}
 	f := &Front{
 		o: o, target: newClient(), peers: newClient(), nonces: newNonceCache(),
 		wake:     make(chan struct{}, 1),
@@ -174,7 +179,8 @@
 }
 
 func (f *Front) shutdown(servers []*http.Server) error {
-	ctx := context.Background()
+	kill := f.o.Kill
+	ctx := kill
 	if f.o.ShutdownTimeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, f.o.ShutdownTimeout)
@@ -187,6 +193,9 @@
 			if err != nil {
 				_ = srv.Close() // the timeout passed; the rest is cut off
 			}
+			if kill.Err() != nil {
+				return nil
+			}
 			return trace.Wrap(err, "requests still in progress after %v", f.o.ShutdownTimeout)
 		})
 	}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -79,6 +79,9 @@
 	configRev atomic.Uint64
 	draining  atomic.Bool
 	incarn    model.Incarnation
+
+	killed context.Context // ends when Run is killed
+	kill   context.CancelFunc
 }
 
 // forwarded is a packet that another process sent.
@@ -100,6 +103,7 @@
 		return nil, trace.Wrap(err)
 	}
 	a := &Agent{opt: opt, held: make(map[flows.Ref]forwarded), leave: make(chan bool, 2)}
+	a.killed, a.kill = context.WithCancel(context.Background())
 	if a.transport, err = newTransport(opt.Self.PeerAddr, opt.Paths, codec, opt.Metrics); err != nil {
 		return nil, err
 	}
@@ -147,13 +151,14 @@
 		Slots: a.opt.Self.Slots, Warmup: a.opt.Warmup, Seed: model.Mix(a.opt.Seed + 1),
 		Peers: a, MACKeys: func() [][]byte { return a.opt.Keys },
 		Metrics: a.opt.Metrics, Logger: a.opt.Logger,
-		ShutdownTimeout: a.opt.DrainTimeout,
+		ShutdownTimeout: a.opt.DrainTimeout, Kill: a.killed,
 	})
 	return trace.Wrap(err)
 }
 
 // Close releases the sockets of an agent that was not run.
 func (a *Agent) Close() {
+	a.kill()
 	a.transport.close()
 	if a.requests != nil {
 		_ = a.requests.Close()
@@ -220,8 +225,15 @@
 func (a *Agent) Run(ctx, kill context.Context) error {
 	defer a.stack.Close()
 	defer a.out.Close()
-	running, stop := context.WithCancel(kill)
+	running, stop := context.WithCancel(context.WithoutCancel(kill))
 	defer stop()
+	stopKill := context.AfterFunc(kill, func() {
+		_ = a.out.Close() // first: callers get no end or reset from a crashed process
+		a.kill()
+		stop()
+	})
+	defer stopKill()
+	defer a.kill()
 	frontCtx, stopFront := context.WithCancel(running)
 	defer stopFront()
 	g, gctx := errgroup.WithContext(running)
