membership: let a decision file take a drain back at the agents

Cause: a drain by a file makes a record leaving at the same incarnation and sequence, and an agent kept the leaving one as the newer of the two when the file was removed. The agents kept the target drained until it was restarted. Change: where records differ only by decision files, the slice with the newer file revision decides. A suspicion still counts as newer. Before: TestFaultDrainReversed and TestFaultHomeCrash waited 55 s in vain for the target to become active.

--- a/internal/membership/announcer.go
+++ b/internal/membership/announcer.go
@@ -130,7 +130,7 @@
 		next = s
 	}
 	next.FileRev = max(a.slice.FileRev, s.FileRev)
-	next.View.Members = a.mergeMembers(a.slice.View.Members, s.View.Members, leading)
+	next.View.Members = a.mergeMembers(a.slice.View.Members, s, leading)
 	if !leading && a.slice.Digest == s.Digest {
 		return
 	}
@@ -140,11 +140,16 @@
 
 // mergeMembers never takes an older record of a member. Only a leading slice
 // removes members.
-func (a *Announcer) mergeMembers(held, given []model.Member, leading bool) []model.Member {
+func (a *Announcer) mergeMembers(held []model.Member, s message.Slice, leading bool) []model.Member {
 	var out []model.Member
+	given := s.View.Members
 	for _, m := range given {
 		i := slices.IndexFunc(held, func(h model.Member) bool { return h.ID == m.ID })
 		switch {
+		case i >= 0 && sameRecord(held[i], m):
+			if s.FileRev < a.slice.FileRev {
+				m = held[i]
+			}
 		case i >= 0 && held[i].Newer(m):
 			m = held[i]
 		case i < 0 && !leading && !a.unknownOrNewer(m):
@@ -166,6 +171,13 @@
 	return out
 }
 
+// sameRecord reports whether two records differ at most by what decision files
+// say about the member. A drain by a file makes a record leaving without a new
+// sequence, and the reversal makes it active again.
+func sameRecord(a, b model.Member) bool {
+	return a.Incarnation == b.Incarnation && a.Seq == b.Seq && a.State < model.StateSuspect && b.State < model.StateSuspect
+}
+
 func (a *Announcer) unknownOrNewer(m model.Member) bool {
 	for _, d := range a.dropped {
 		if d.member.ID == m.ID && !m.Newer(d.member) {
