front: close idle connections of a leaving agent

Cause: a caller's idle keep-alive connection was a flow that never ended, so the drain of its agent never ended. Change: from the start of the leave, a connection that has been idle for 10 s is closed. Requests that arrive before are served as before. TestFaultAgentStop guards it: without the change the agent does not exit.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -79,6 +79,7 @@
 	target   *http.Client
 	peers    *http.Client
 	nonces   *nonceCache
+	idle     *idleConns
 	nextID   atomic.Uint64
 	inFlight atomic.Int64
 	leaving  atomic.Bool
@@ -128,7 +129,7 @@
 		o.Kill = context.Background()
 	}
 	f := &Front{
-		o: o, target: newClient(), peers: newClient(), nonces: newNonceCache(),
+		o: o, target: newClient(), peers: newClient(), nonces: newNonceCache(), idle: newIdleConns(),
 		wake:     make(chan struct{}, 1),
 		requests: make(map[admission.RequestID]*request),
 		core: admission.New(admission.Options{
@@ -149,9 +150,11 @@
 	defer stopLoop()
 	var g errgroup.Group
 	g.Go(func() error { f.run(loop); return nil })
-	servers := []*http.Server{f.serve(&g, f.o.Listener, f.serveCaller)}
+	servers := []*http.Server{f.serve(&g, f.o.Listener, f.serveCaller, func(c net.Conn, s http.ConnState) {
+		f.idle.note(f.o.Now(), c, s)
+	})}
 	if f.o.PeerListener != nil {
-		servers = append(servers, f.serve(&g, f.o.PeerListener, f.servePeer))
+		servers = append(servers, f.serve(&g, f.o.PeerListener, f.servePeer, nil))
 	}
 	<-ctx.Done()
 	f.stopping.Store(true)
@@ -164,8 +167,8 @@
 	return trace.Wrap(err)
 }
 
-func (f *Front) serve(g *errgroup.Group, ln net.Listener, h http.HandlerFunc) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+func (f *Front) serve(g *errgroup.Group, ln net.Listener, h http.HandlerFunc, connState func(net.Conn, http.ConnState)) *http.Server {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: connState}
 	if f.o.Logger != nil {
 		srv.ErrorLog = f.o.Logger.StandardLog()
 	}
@@ -213,9 +216,11 @@
 	f.post(admission.ViewChanged{View: v})
 }
 
-// Leave stops the start of new requests here; they move to other agents.
+// Leave stops the start of new requests here; they move to other agents. Idle
+// connections of callers are closed after a while.
 func (f *Front) Leave() {
 	if !f.leaving.Swap(true) {
+		f.idle.leave(f.o.Now())
 		f.post(admission.Leave{})
 	}
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -38,6 +38,7 @@
 		case <-timer.C:
 			f.step(admission.Tick{})
 		}
+		f.idle.closeOld(f.o.Now())
 		timer.Reset(f.untilTick())
 		load := f.core.Load()
 		f.load.Store(&load)
