netstack: give up connections whose other side went silent

Cause: keepalive probes are not sent while data is not acknowledged, and the library sends unacknowledged data again without end. A feed to a silent caller was held for ever. The library's user timeout was not used, because it also ends a connection whose caller is alive and does not read. The longest retransmission time is one keepalive interval, so that a caller that is alive is heard in time.

--- a/internal/netstack/listener.go
+++ b/internal/netstack/listener.go
@@ -43,6 +43,8 @@
 	opened   time.Time
 	endpoint tcpip.Endpoint // nil during the handshake
 	failed   bool
+	received uint64 // segments
+	heard    time.Time
 }
 
 // ListenAll starts accepting connections on all addresses.
@@ -103,12 +105,14 @@
 }
 
 // Ended returns the flows whose endpoints have ended since the last call, with
-// their last segments acknowledged or given up.
+// their last segments acknowledged or given up. It gives up the endpoints whose
+// other side went silent.
 func (l *Listener) Ended(now time.Time) []model.Flow {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var ended []model.Flow
 	for flow, f := range l.flows {
+		f.abortSilent(now, l.s.alive)
 		if f.ended(now) {
 			ended = append(ended, flow)
 			delete(l.flows, flow)
@@ -117,6 +121,27 @@
 	return ended
 }
 
+// abortSilent ends an endpoint from whose other side nothing was received for
+// the time of all keepalive probes. The library sends no probes while data is
+// not acknowledged, and sends that data again without end. A caller that reads
+// nothing still answers the library's probes of its window.
+func (f *flowState) abortSilent(now time.Time, alive Keepalive) {
+	if f.endpoint == nil {
+		return
+	}
+	stats, ok := f.endpoint.Stats().(*tcp.Stats)
+	if !ok {
+		return
+	}
+	if n := stats.SegmentsReceived.Value(); n != f.received || f.heard.IsZero() {
+		f.received, f.heard = n, now
+		return
+	}
+	if now.Sub(f.heard) > alive.silence() {
+		f.endpoint.Abort()
+	}
+}
+
 func (f *flowState) ended(now time.Time) bool {
 	if f.endpoint == nil {
 		return f.failed || now.Sub(f.opened) > handshakeTimeout
--- a/internal/netstack/netstack.go
+++ b/internal/netstack/netstack.go
@@ -62,6 +62,9 @@
 	return k
 }
 
+// silence is the time without a segment after which the other side is given up.
+func (k Keepalive) silence() time.Duration { return k.Idle + time.Duration(k.Probes)*k.Interval }
+
 func (k Keepalive) apply(ep tcpip.Endpoint) {
 	ep.SocketOptions().SetKeepAlive(true)
 	idle := tcpip.KeepaliveIdleOption(k.Idle)
@@ -122,8 +125,11 @@
 	}
 	wait := tcpip.TCPTimeWaitTimeoutOption(timeWait)
 	rto := tcpip.TCPMinRTOOption(minRTO)
+	// Of several lost segments or window probes, one must be answered within the
+	// time after which the other side is given up.
+	maxRTO := tcpip.TCPMaxRTOOption(max(s.alive.Interval, minRTO))
 	sack := tcpip.TCPSACKEnabled(true)
-	for _, opt := range []tcpip.SettableTransportProtocolOption{&wait, &rto, &sack} {
+	for _, opt := range []tcpip.SettableTransportProtocolOption{&wait, &rto, &maxRTO, &sack} {
 		if err := s.ns.SetTransportProtocolOption(tcp.ProtocolNumber, opt); err != nil {
 			return trace.Errorf("set TCP option %T: %v", opt, err)
 		}
