netstack: do not use the library's RACK

Cause: when many acknowledgements are lost, as when a joining balancer drops packets until it serves, the library's loss detection by RACK can leave a connection without any running timer. It then stands still for ever. Change: loss is found by SACK and the retransmission timer.

--- a/internal/netstack/netstack.go
+++ b/internal/netstack/netstack.go
@@ -129,7 +129,10 @@
 	// time after which the other side is given up.
 	maxRTO := tcpip.TCPMaxRTOOption(max(s.alive.Interval, minRTO))
 	sack := tcpip.TCPSACKEnabled(true)
-	for _, opt := range []tcpip.SettableTransportProtocolOption{&wait, &rto, &maxRTO, &sack} {
+	// With the library's RACK, 25 of 30 feeds stood still for ever after two
+	// seconds in which 30% of the packets were lost: no timer ran any more.
+	var noRACK tcpip.TCPRecovery
+	for _, opt := range []tcpip.SettableTransportProtocolOption{&wait, &rto, &maxRTO, &sack, &noRACK} {
 		if err := s.ns.SetTransportProtocolOption(tcp.ProtocolNumber, opt); err != nil {
 			return trace.Errorf("set TCP option %T: %v", opt, err)
 		}
--- a/internal/netstack/path_test.go
+++ b/internal/netstack/path_test.go
@@ -1,6 +1,7 @@
 package netstack_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -8,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,28 +20,23 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/standin/fabric"
 )
 
-// Guards against uploads that arrive damaged or stall when the network loses 2%
-// of the packets and delivers them out of order.
-func TestFaultUploadOverLossyReorderingFabric(t *testing.T) {
+// serve runs an HTTP server on a stack behind a fabric.
+func serve(t *testing.T, handler http.HandlerFunc) *fabric.Fabric {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	f, err := fabric.New(7)
 	is.NoErr(err)
 	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer cancel()
-	wg.Go(func() { _ = f.Run(ctx) })
-
 	entry, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	is.NoErr(err)
-	defer entry.Close()
 	back := net.UDPAddrFromAddrPort(f.ReturnAddr())
 	stack, err := netstack.New(netstack.Options{Output: func(p []byte) { _, _ = entry.WriteToUDP(p, back) }})
 	is.NoErr(err)
-	defer stack.Close()
 	ln, err := stack.ListenAll()
 	is.NoErr(err)
+	srv := &http.Server{Handler: handler}
+	wg.Go(func() { _ = f.Run(ctx) })
+	wg.Go(func() { _ = srv.Serve(ln) })
 	wg.Go(func() {
 		buf := make([]byte, 65536)
 		for {
@@ -50,13 +47,22 @@
 			stack.Inject(buf[:n])
 		}
 	})
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(w, r.Body)
-	})}
-	wg.Go(func() { _ = srv.Serve(ln) })
-	defer srv.Close()
-
+	t.Cleanup(func() {
+		cancel()
+		_ = srv.Close()
+		_ = entry.Close()
+		wg.Wait()
+		stack.Close()
+	})
 	f.SetBalancers(entry.LocalAddr().(*net.UDPAddr).AddrPort())
+	return f
+}
+
+// Guards against uploads that arrive damaged or stall when the network loses 2%
+// of the packets and delivers them out of order.
+func TestFaultUploadOverLossyReorderingFabric(t *testing.T) {
+	is := is.New(t)
+	f := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
 	f.SetFaults(fabric.Faults{Loss: 0.02, MaxDelay: 4 * time.Millisecond})
 	c, err := caller.New(f, netip.MustParseAddr("10.0.0.1"))
 	is.NoErr(err)
@@ -72,3 +78,45 @@
 	}
 	is.True(f.Counters().Lost > 0)
 }
+
+// Guards against feeds that stand still for ever after many packets were lost.
+func TestFaultFeedsGoOnAfterHeavyLoss(t *testing.T) {
+	is := is.New(t)
+	f := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, "data\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	c, err := caller.New(f, netip.MustParseAddr("10.0.0.1"))
+	is.NoErr(err)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second) // a feed that stands still ends here
+	defer cancel()
+	var feeds []*bufio.Scanner
+	for range 30 {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://10.80.0.1:80/feed", nil)
+		resp, err := c.Client(false).Do(req)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		feeds = append(feeds, bufio.NewScanner(resp.Body))
+	}
+	var wg sync.WaitGroup
+	var still atomic.Int64
+	f.SetFaults(fabric.Faults{Loss: 0.3})
+	time.AfterFunc(2*time.Second, func() { f.SetFaults(fabric.Faults{}) })
+	for _, feed := range feeds {
+		wg.Go(func() {
+			for range 500 {
+				if !feed.Scan() {
+					still.Add(1)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(still.Load(), int64(0))
+}
