--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -77,6 +77,8 @@
 	// ShutdownTimeout bounds the wait for requests in progress after the context
 	// ended; 0 waits until the last one ends.
 	ShutdownTimeout time.Duration
+	// Kill cuts off the requests in progress when it ends; it may be nil.
+	Kill context.Context
 }
 
 // Front serves the requests of one agent.
@@ -85,6 +87,7 @@
 	target   *http.Client
 	peers    *http.Client
 	nonces   *nonceCache
+	idle     *idleConns
 	nextID   atomic.Uint64
 	inFlight atomic.Int64
 	leaving  atomic.Bool
@@ -133,8 +136,11 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Kill == nil {
+		o.Kill = context.Background()
+	}
 	f := &Front{
-		o: o, target: newClient(), peers: newClient(), nonces: newNonceCache(),
+		o: o, target: newClient(), peers: newClient(), nonces: newNonceCache(), idle: newIdleConns(),
 		wake:     make(chan struct{}, 1),
 		requests: make(map[admission.RequestID]*request),
 		keyed:    make(map[uint64]*request),
@@ -159,9 +165,11 @@
 	defer stopLoop()
 	var g errgroup.Group
 	g.Go(func() error { f.run(loop); return nil })
-	servers := []*http.Server{f.serve(&g, f.o.Listener, f.serveCaller)}
+	servers := []*http.Server{f.serve(&g, f.o.Listener, f.serveCaller, func(c net.Conn, s http.ConnState) {
+		f.idle.note(f.o.Now(), c, s)
+	})}
 	if f.o.PeerListener != nil {
-		servers = append(servers, f.serve(&g, f.o.PeerListener, f.servePeer))
+		servers = append(servers, f.serve(&g, f.o.PeerListener, f.servePeer, nil))
 	}
 	<-ctx.Done()
 	f.stopping.Store(true)
@@ -174,8 +182,8 @@
 	return trace.Wrap(err)
 }
 
-func (f *Front) serve(g *errgroup.Group, ln net.Listener, h http.HandlerFunc) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+func (f *Front) serve(g *errgroup.Group, ln net.Listener, h http.HandlerFunc, connState func(net.Conn, http.ConnState)) *http.Server {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: connState}
 	if f.o.Logger != nil {
 		srv.ErrorLog = f.o.Logger.StandardLog()
 	}
@@ -189,7 +197,8 @@
 }
 
 func (f *Front) shutdown(servers []*http.Server) error {
-	ctx := context.Background()
+	kill := f.o.Kill
+	ctx := kill
 	if f.o.ShutdownTimeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, f.o.ShutdownTimeout)
@@ -202,6 +211,9 @@
 			if err != nil {
 				_ = srv.Close() // the timeout passed; the rest is cut off
 			}
+			if kill.Err() != nil {
+				return nil
+			}
 			return trace.Wrap(err, "requests still in progress after %v", f.o.ShutdownTimeout)
 		})
 	}
@@ -219,9 +231,11 @@
 	f.post(admission.ViewChanged{View: v})
 }
 
-// Leave stops the start of new requests here; they move to other agents.
+// Leave stops the start of new requests here; they move to other agents. Idle
+// connections of callers are closed after a while.
 func (f *Front) Leave() {
 	if !f.leaving.Swap(true) {
+		f.idle.leave(f.o.Now())
 		f.post(admission.Leave{})
 	}
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -37,6 +37,7 @@
 			f.step(admission.Tick{})
 			f.stepKeys(keys.Tick{})
 		}
+		f.idle.closeOld(f.o.Now())
 		timer.Reset(f.untilTick())
 		load := f.core.Load()
 		f.load.Store(&load)
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -47,6 +47,7 @@
 	Warmup    time.Duration // of the target's slots
 	Flows     flows.Options
 	Intervals membership.Intervals
+	Keepalive netstack.Keepalive // of the callers' connections
 	Metrics   *telemetry.Metrics
 	Logger    *log.Logger
 	// KeysOpen is a time before which no keyed request of the service can have
@@ -84,6 +85,9 @@
 	configRev atomic.Uint64
 	draining  atomic.Bool
 	incarn    model.Incarnation
+
+	killed context.Context // ends when Run is killed
+	kill   context.CancelFunc
 }
 
 // forwarded is a packet that another process sent.
@@ -105,6 +109,7 @@
 		return nil, trace.Wrap(err)
 	}
 	a := &Agent{opt: opt, held: make(map[flows.Ref]forwarded), leave: make(chan bool, 2), calls: make(calls), started: time.Now()}
+	a.killed, a.kill = context.WithCancel(context.Background())
 	if a.transport, err = newTransport(opt.Self.PeerAddr, opt.Paths, codec, opt.Metrics); err != nil {
 		return nil, err
 	}
@@ -134,7 +139,10 @@
 	if a.requests, err = net.Listen("tcp", a.opt.Self.RequestAddr.String()); err != nil {
 		return trace.Wrap(err, "request address %s", a.opt.Self.RequestAddr)
 	}
-	a.stack, err = netstack.New(netstack.Options{Output: func(p []byte) { _, _ = a.out.Write(p) }})
+	a.stack, err = netstack.New(netstack.Options{
+		Output:    func(p []byte) { _, _ = a.out.Write(p) },
+		Keepalive: a.opt.Keepalive,
+	})
 	if err != nil {
 		return err
 	}
@@ -154,13 +162,14 @@
 		Slots: a.opt.Self.Slots, Warmup: a.opt.Warmup, Seed: model.Mix(a.opt.Seed + 1),
 		Peers: a, Homes: a.homes, KeysOpen: a.opt.KeysOpen, MACKeys: func() [][]byte { return a.opt.Keys },
 		Metrics: a.opt.Metrics, Logger: a.opt.Logger,
-		ShutdownTimeout: a.opt.DrainTimeout,
+		ShutdownTimeout: a.opt.DrainTimeout, Kill: a.killed,
 	})
 	return trace.Wrap(err)
 }
 
 // Close releases the sockets of an agent that was not run.
 func (a *Agent) Close() {
+	a.kill()
 	a.transport.close()
 	if a.requests != nil {
 		_ = a.requests.Close()
@@ -227,8 +236,15 @@
 func (a *Agent) Run(ctx, kill context.Context) error {
 	defer a.stack.Close()
 	defer a.out.Close()
-	running, stop := context.WithCancel(kill)
+	running, stop := context.WithCancel(context.WithoutCancel(kill))
 	defer stop()
+	stopKill := context.AfterFunc(kill, func() {
+		_ = a.out.Close() // first: callers get no end or reset from a crashed process
+		a.kill()
+		stop()
+	})
+	defer stopKill()
+	defer a.kill()
 	frontCtx, stopFront := context.WithCancel(running)
 	defer stopFront()
 	g, gctx := errgroup.WithContext(running)
