wire: seal each message for its recipient

The MAC did not cover the recipient, so a captured datagram could be replayed once to every other process that shares the key.

Seal takes the recipient, the envelope names it under the MAC, and Open refuses other recipients as wire_recipient. Only Digest and Heartbeat may be sealed for no one, for seeds whose name is not known. The head is written and read by hand, without allocations. The version is 2; the version byte is now checked before the length of the array, so that a receiver counts other versions as such.

Trial: without the comparison in Open, TestRefusals/for_another_process fails. A captured Digest or Heartbeat for a seed can still be replayed once to each other process.

--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -144,7 +144,7 @@
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		switch m := env.Msg.(type) {
 		case message.Probe:
-			t.answerProbe(path, from, m)
+			t.answerProbe(path, env.From, from, m)
 		case message.ProbeAck:
 			t.acks.Put(paths.Ack{From: env.From, Msg: m})
 		default:
@@ -155,13 +155,13 @@
 
 // answerProbe answers over the socket that the probe arrived on, so that the
 // answer tests the same path.
-func (t *transport) answerProbe(path int, to netip.AddrPort, p message.Probe) {
-	datagram, err := t.codec.Seal(nil, message.ProbeAck(p))
+func (t *transport) answerProbe(path int, to model.NodeID, addr netip.AddrPort, p message.Probe) {
+	datagram, err := t.codec.Seal(nil, to, message.ProbeAck(p))
 	if err != nil {
 		t.metrics.Count("messages_dropped", reasonOf(err), 1)
 		return
 	}
-	_, _ = t.conns[path].WriteToUDPAddrPort(datagram, to)
+	_, _ = t.conns[path].WriteToUDPAddrPort(datagram, addr)
 }
 
 func (t *transport) sendLoop(ctx context.Context) {
@@ -199,7 +199,7 @@
 	for _, a := range t.paths.Step(time.Now(), paths.Tick{}) {
 		switch a := a.(type) {
 		case paths.Send:
-			scratch = t.write(scratch, outgoing{addr: t.addrs[a.To], msg: a.Msg}, a.Path)
+			scratch = t.write(scratch, outgoing{to: a.To, addr: t.addrs[a.To], msg: a.Msg}, a.Path)
 		case paths.Silent:
 			t.metrics.Count("paths", "silent", 1)
 		case paths.Recovered:
@@ -214,7 +214,7 @@
 
 // write seals and sends one message.
 func (t *transport) write(scratch []byte, o outgoing, path int) []byte {
-	datagram, err := t.codec.Seal(scratch[:0], o.msg)
+	datagram, err := t.codec.Seal(scratch[:0], o.to, o.msg)
 	if o.buf != nil {
 		o.buf.free()
 	}
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -21,6 +21,8 @@
 	ErrKey Error = "wire_key"
 	// ErrMAC: the MAC does not match the content.
 	ErrMAC Error = "wire_mac"
+	// ErrRecipient: sealed for another process, or for none by a kind that needs one.
+	ErrRecipient Error = "wire_recipient"
 	// ErrSelf: the message names this process as its sender.
 	ErrSelf Error = "wire_self"
 	// ErrStale: the sender has a newer incarnation.
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"reflect"
 
 	"github.com/fxamacker/cbor/v2"
@@ -37,6 +38,14 @@
 	kindProbeAck
 )
 
+// maxKind is the highest number that a kind may have.
+const maxKind = math.MaxUint8
+
+// unaddressed reports whether the kind may be sent to a seed whose name is not
+// known yet. A captured datagram of such a kind can be replayed to every process
+// once; the record or digest in it carries versions of its own.
+func (k kind) unaddressed() bool { return k == kindHeartbeat || k == kindDigest }
+
 type decoder func(cbor.DecMode, []byte) (message.Message, error)
 
 var decoders = map[kind]decoder{
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,10 +1,13 @@
 // Package wire encodes peer messages as authenticated CBOR datagrams and
 // refuses what is forged, replayed, stale or of another format version.
 //
-// A datagram is the CBOR array [version, key id, sender, incarnation, sequence,
-// kind, body] followed by a MAC of it. A message may gain fields without a new
-// version: a receiver ignores fields that it does not know and leaves missing
-// ones at their zero value. Anything else needs a new version.
+// A datagram is the CBOR array [version, key id, recipient, sender, incarnation,
+// sequence, kind, body] followed by a MAC of it. A message may gain fields
+// without a new version: a receiver ignores fields that it does not know and
+// leaves missing ones at their zero value. Anything else needs a new version.
+//
+// In every version a datagram starts with the one-byte head of an array and a
+// one-byte version, so that a receiver can count the datagrams of other versions.
 package wire
 
 import (
@@ -21,22 +24,24 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 )
 
-// Version is the format version that a Codec writes and accepts.
-const Version = 1
+// Version is the format version that a Codec writes and accepts. Version 1 did
+// not name the recipient.
+const Version = 2
 
 const (
 	// MaxDatagram is the largest UDP payload over IPv4.
 	MaxDatagram = 65507
-	// MaxSenderID bounds the length of a NodeID in bytes.
-	MaxSenderID = 128
-	// MaxBody is the largest encoded body that fits a datagram of any sender.
+	// MaxNodeID bounds the length of a NodeID in bytes.
+	MaxNodeID = 128
+	// MaxBody is the largest encoded body that fits a datagram between any nodes.
 	MaxBody = MaxDatagram - macSize - headSize
 
 	// headSize bounds the bytes before the body: the array head, version, key
-	// id, sender with a 2-byte head, incarnation, sequence and kind.
-	headSize = 1 + 1 + keyIDSize + 2 + MaxSenderID + 9 + 9 + 2
+	// id, recipient and sender with 2-byte heads, incarnation, sequence and kind.
+	headSize = 1 + 1 + keyIDSize + 2*(2+MaxNodeID) + 9 + 9 + 2
 
-	arrayHead = 0x87 // CBOR head of an array of 7 elements
+	elements  = 8 // of the array
+	arrayHead = majorArray | elements
 
 	// maxElements admits a digest of 7,278 bucket hashes, which fill a datagram.
 	// Every element may decode to a larger value, so memory is bounded by it.
@@ -88,8 +93,8 @@
 
 // New returns a codec.
 func New(o Options) (*Codec, error) {
-	if o.Self == "" || len(o.Self) > MaxSenderID || !utf8.ValidString(string(o.Self)) {
-		return nil, trace.BadParameter("node id %q must be 1 to %d bytes of UTF-8", string(o.Self), MaxSenderID)
+	if o.Self == "" || len(o.Self) > MaxNodeID || !utf8.ValidString(string(o.Self)) {
+		return nil, trace.BadParameter("node id %q must be 1 to %d bytes of UTF-8", string(o.Self), MaxNodeID)
 	}
 	if o.MaxSenders <= 0 {
 		o.MaxSenders = DefaultMaxSenders
@@ -156,36 +161,35 @@
 // many were forgotten to stay within the bound.
 func (c *Codec) Senders() (held int, evicted uint64) { return c.replay.stats() }
 
-// Seal appends the datagram of m to dst. On an error dst is returned unchanged.
-func (c *Codec) Seal(dst []byte, m message.Message) ([]byte, error) {
+// Seal appends the datagram of m for the node to to dst. Only that node opens
+// it. The recipient may be empty, for a seed whose name is not known yet, if m is
+// a Digest or a Heartbeat. On an error dst is returned unchanged.
+func (c *Codec) Seal(dst []byte, to model.NodeID, m message.Message) ([]byte, error) {
 	kind, ok := kindOf(m)
 	if !ok {
 		return dst, ErrKind
 	}
-	return c.seal(dst, Version, kind, m)
+	if to == "" && !kind.unaddressed() || len(to) > MaxNodeID || !utf8.ValidString(string(to)) {
+		return dst, ErrRecipient
+	}
+	return c.seal(dst, Version, to, kind, m)
 }
 
-func (c *Codec) seal(dst []byte, version uint8, k kind, body any) ([]byte, error) {
+func (c *Codec) seal(dst []byte, version uint8, to model.NodeID, k kind, body any) ([]byte, error) {
 	key := c.keys.Load().signing()
 	buf := c.buffers.Get().(*bytes.Buffer)
 	defer c.buffers.Put(buf)
 	buf.Reset()
-	buf.WriteByte(arrayHead)
-	buf.WriteByte(version)
-	buf.Write(key.id[:])
-	for _, field := range [...]any{string(c.self), c.incarnation.Load(), c.seq.Add(1), uint8(k)} {
-		if err := c.enc.MarshalToBuffer(field, buf); err != nil {
-			return dst, ErrEncode
-		}
-	}
-	head := buf.Len()
 	if err := c.enc.MarshalToBuffer(body, buf); err != nil {
 		return dst, ErrEncode
 	}
-	if buf.Len()-head > MaxBody {
+	if buf.Len() > MaxBody {
 		return dst, ErrTooLarge
 	}
 	start := len(dst)
+	dst = append(dst, arrayHead, version)
+	dst = append(dst, key.id[:]...)
+	dst = appendHeader(dst, string(to), string(c.self), c.incarnation.Load(), c.seq.Add(1), k)
 	dst = append(dst, buf.Bytes()...)
 	return key.appendMAC(dst, dst[start:]), nil
 }
@@ -197,32 +201,25 @@
 	if err != nil {
 		return Envelope{}, err
 	}
-	var h struct {
-		from             string
-		incarnation, seq uint64
-		kind             uint8
-	}
-	rest := signed[2+keyIDSize:]
-	for _, field := range [...]any{&h.from, &h.incarnation, &h.seq, &h.kind} {
-		if rest, err = c.dec.UnmarshalFirst(rest, field); err != nil {
-			return Envelope{}, ErrMalformed
-		}
-	}
-	if h.from == "" || len(h.from) > MaxSenderID {
+	h, body, ok := readHeader(signed[2+keyIDSize:])
+	if !ok {
 		return Envelope{}, ErrMalformed
 	}
 	from := model.NodeID(h.from)
-	if from == c.self {
+	switch {
+	case from == c.self:
 		return Envelope{}, ErrSelf
+	case len(h.to) == 0 && !h.kind.unaddressed(), len(h.to) > 0 && string(h.to) != string(c.self):
+		return Envelope{}, ErrRecipient
 	}
 	if err := c.replay.accept(from, model.Incarnation(h.incarnation), h.seq); err != nil {
 		return Envelope{}, err
 	}
-	decode := decoders[kind(h.kind)]
+	decode := decoders[h.kind]
 	if decode == nil {
 		return Envelope{}, ErrKind
 	}
-	m, err := decode(c.dec, rest)
+	m, err := decode(c.dec, body)
 	if err != nil {
 		return Envelope{}, ErrMalformed
 	}
@@ -236,12 +233,14 @@
 	switch {
 	case len(datagram) > MaxDatagram:
 		return nil, ErrTooLarge
-	case len(datagram) < 2+keyIDSize+macSize || datagram[0] != arrayHead:
+	case len(datagram) < 2+keyIDSize+macSize || datagram[0]&majorMask != majorArray:
 		return nil, ErrMalformed
 	case datagram[1] < Version:
 		return nil, ErrVersionOlder
 	case datagram[1] > Version:
 		return nil, ErrVersionNewer
+	case datagram[0] != arrayHead:
+		return nil, ErrMalformed
 	}
 	signed, mac := datagram[:len(datagram)-macSize], datagram[len(datagram)-macSize:]
 	key := c.keys.Load().find([keyIDSize]byte(signed[2:]))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -31,9 +31,9 @@
 	return c
 }
 
-func seal(t testing.TB, c *Codec, m message.Message) []byte {
+func seal(t testing.TB, c *Codec, to model.NodeID, m message.Message) []byte {
 	t.Helper()
-	out, err := c.Seal(nil, m)
+	out, err := c.Seal(nil, to, m)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 			is := is.New(t)
 			is.True(decoders[k] != nil)
 			seq++
-			env, err := b.Open(seal(t, a, v.Interface().(message.Message)))
+			env, err := b.Open(seal(t, a, "b", v.Interface().(message.Message)))
 			is.NoErr(err)
 			is.Equal(env, Envelope{From: "a", Incarnation: 5, Seq: seq, Msg: v.Interface().(message.Message)})
 		})
@@ -111,27 +111,40 @@
 		want error
 		data func(a, b *Codec) []byte
 	}{
-		{"changed content", ErrMAC, func(a, b *Codec) []byte { d := seal(t, a, probe); d[12] ^= 1; return d }},
+		{"changed content", ErrMAC, func(a, b *Codec) []byte { d := seal(t, a, "b", probe); d[12] ^= 1; return d }},
 		{"forged far sequence", ErrMAC, func(a, b *Codec) []byte {
 			a.seq.Add(5000)
-			d := seal(t, a, probe)
+			d := seal(t, a, "b", probe)
 			a.seq.Store(0)
 			d[len(d)-1] ^= 1
 			return d
 		}},
-		{"cut off", ErrMAC, func(a, b *Codec) []byte { d := seal(t, a, probe); return d[:len(d)-1] }},
-		{"short", ErrMalformed, func(a, b *Codec) []byte { return seal(t, a, probe)[:20] }},
-		{"other key", ErrKey, func(a, b *Codec) []byte { return seal(t, codec(t, "a", 5, nextKey), probe) }},
-		{"older version", ErrVersionOlder, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version-1, kindProbe, probe); return d }},
-		{"newer version", ErrVersionNewer, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version+1, kindProbe, probe); return d }},
-		{"unknown kind", ErrKind, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version, 200, probe); return d }},
-		{"body of another type", ErrMalformed, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version, kindProbe, "text"); return d }},
-		{"own message", ErrSelf, func(a, b *Codec) []byte { return seal(t, b, probe) }},
-		{"replay", ErrReplay, func(a, b *Codec) []byte { d := seal(t, a, probe); _, _ = b.Open(d); return d }},
+		{"cut off", ErrMAC, func(a, b *Codec) []byte { d := seal(t, a, "b", probe); return d[:len(d)-1] }},
+		{"short", ErrMalformed, func(a, b *Codec) []byte { return seal(t, a, "b", probe)[:20] }},
+		{"other key", ErrKey, func(a, b *Codec) []byte { return seal(t, codec(t, "a", 5, nextKey), "b", probe) }},
+		{"older version", ErrVersionOlder, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version-1, "b", kindProbe, probe); return d }},
+		{"newer version", ErrVersionNewer, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version+1, "b", kindProbe, probe); return d }},
+		{"unknown kind", ErrKind, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version, "b", 200, probe); return d }},
+		{"body of another type", ErrMalformed, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version, "b", kindProbe, "text"); return d }},
+		{"another version's array", ErrVersionOlder, func(a, b *Codec) []byte {
+			d, _ := a.seal(nil, Version-1, "b", kindProbe, probe)
+			d[0]--
+			return d
+		}},
+		{"another array", ErrMalformed, func(a, b *Codec) []byte { d := seal(t, a, "b", probe); d[0]--; return d }},
+		{"for another process", ErrRecipient, func(a, b *Codec) []byte { return seal(t, a, "c", probe) }},
+		{"for no process", ErrRecipient, func(a, b *Codec) []byte { d, _ := a.seal(nil, Version, "", kindProbe, probe); return d }},
+		{"recipient changed on the way", ErrMAC, func(a, b *Codec) []byte {
+			d := seal(t, a, "c", probe)
+			d[2+keyIDSize+1] = 'b'
+			return d
+		}},
+		{"own message", ErrSelf, func(a, b *Codec) []byte { return seal(t, b, "a", probe) }},
+		{"replay", ErrReplay, func(a, b *Codec) []byte { d := seal(t, a, "b", probe); _, _ = b.Open(d); return d }},
 		{"stale incarnation", ErrStale, func(a, b *Codec) []byte {
-			d := seal(t, a, probe)
+			d := seal(t, a, "b", probe)
 			a.SetIncarnation(6)
-			_, _ = b.Open(seal(t, a, probe))
+			_, _ = b.Open(seal(t, a, "b", probe))
 			return d
 		}},
 		{"too large", ErrTooLarge, func(a, b *Codec) []byte { return make([]byte, MaxDatagram+1) }},
@@ -142,12 +155,80 @@
 			env, err := b.Open(c.data(a, b))
 			is.Equal(err, c.want)
 			is.Equal(env, Envelope{})
-			_, err = b.Open(seal(t, a, probe))
+			_, err = b.Open(seal(t, a, "b", probe))
 			is.NoErr(err) // the sender's next message
 		})
 	}
 }
 
+// Guards against a node that cannot reach a seed whose name it does not know,
+// and against other messages that any process would accept.
+func TestUnaddressedKinds(t *testing.T) {
+	a, b, c := codec(t, "a", 5, oldKey), codec(t, "b", 1, oldKey), codec(t, "c", 1, oldKey)
+	for typ, k := range kinds {
+		t.Run(typ.Name(), func(t *testing.T) {
+			is := is.New(t)
+			m := reflect.Zero(typ).Interface().(message.Message)
+			d, err := a.Seal(nil, "", m)
+			if k != kindDigest && k != kindHeartbeat {
+				is.Equal(err, error(ErrRecipient))
+				return
+			}
+			is.NoErr(err)
+			for _, to := range []*Codec{b, c} {
+				env, err := to.Open(d)
+				is.NoErr(err)
+				is.Equal(env.Msg, m)
+				_, err = to.Open(d)
+				is.Equal(err, error(ErrReplay))
+			}
+		})
+	}
+	is := is.New(t)
+	for _, to := range []string{strings.Repeat("c", MaxNodeID+1), "\xff"} {
+		_, err := a.Seal(nil, model.NodeID(to), message.Probe{})
+		is.Equal(err, error(ErrRecipient))
+	}
+}
+
+// Guards against a head that differs from the library's CBOR, and against two
+// encodings of the same head.
+func TestHeadIsCBOR(t *testing.T) {
+	is := is.New(t)
+	c := codec(t, "a", 1, oldKey)
+	for _, n := range []uint64{0, 23, 24, 255, 256, 65535, 65536, math.MaxUint32, math.MaxUint32 + 1, math.MaxUint64} {
+		want, err := c.enc.Marshal(n)
+		is.NoErr(err)
+		is.Equal(appendItem(nil, majorUint, n), want)
+		got, rest, ok := readItem(append(want, 7), majorUint)
+		is.True(ok)
+		is.Equal(got, n)
+		is.Equal(rest, []byte{7})
+		for cut := range want {
+			_, _, ok = readItem(want[:cut], majorUint)
+			is.True(!ok)
+		}
+	}
+	for _, item := range []string{"1817", "1900ff", "1a0000ffff", "1b00000000ffffffff", "1c", "1f", "20"} {
+		raw, err := hex.DecodeString(item)
+		is.NoErr(err)
+		_, _, ok := readItem(raw, majorUint)
+		is.True(!ok)
+	}
+	long := strings.Repeat("é", 150)
+	want, err := c.enc.Marshal(long)
+	is.NoErr(err)
+	is.Equal(appendText(nil, long), want)
+	for _, name := range []string{"\xff", long} {
+		_, _, ok := readHeader(appendHeader(nil, name, "a", 1, 1, kindProbe))
+		is.True(!ok)
+		_, _, ok = readHeader(appendHeader(nil, "b", name, 1, 1, kindProbe))
+		is.True(!ok)
+	}
+	_, _, ok := readHeader(appendHeader(nil, "b", "", 1, 1, kindProbe))
+	is.True(!ok)
+}
+
 // Guards against bodies that a strict decoder must refuse.
 func TestStrictCBOR(t *testing.T) {
 	for _, body := range []string{
@@ -164,7 +245,7 @@
 		_, err = decoders[kindProbe](codec(t, "b", 1, oldKey).dec, raw)
 		is.True(err != nil)
 	}
-	_, err := codec(t, "b", 1, oldKey).Seal(nil, message.Heartbeat{Member: model.Member{Weight: math.NaN()}})
+	_, err := codec(t, "b", 1, oldKey).Seal(nil, "a", message.Heartbeat{Member: model.Member{Weight: math.NaN()}})
 	is.New(t).Equal(err, error(ErrEncode))
 }
 
@@ -173,7 +254,7 @@
 func TestFieldsOfOtherReleases(t *testing.T) {
 	is := is.New(t)
 	a, b := codec(t, "a", 5, oldKey), codec(t, "b", 1, oldKey)
-	newer, err := a.seal(nil, Version, kindProbe, struct {
+	newer, err := a.seal(nil, Version, "b", kindProbe, struct {
 		ID    uint64
 		Path  uint8
 		Added []string
@@ -182,7 +263,7 @@
 	env, err := b.Open(newer)
 	is.NoErr(err)
 	is.Equal(env.Msg, message.Probe{ID: 9, Path: 2})
-	older, err := a.seal(nil, Version, kindProbe, struct{ ID uint64 }{9})
+	older, err := a.seal(nil, Version, "b", kindProbe, struct{ ID uint64 }{9})
 	is.NoErr(err)
 	env, err = b.Open(older)
 	is.NoErr(err)
@@ -196,13 +277,13 @@
 	steps := [][][]byte{{oldKey, nextKey}, {nextKey, oldKey}, {nextKey}}
 	for _, keys := range steps {
 		is.NoErr(a.SetKeys(keys))
-		_, err := b.Open(seal(t, a, message.FlowAck{Seq: 1}))
+		_, err := b.Open(seal(t, a, "b", message.FlowAck{Seq: 1}))
 		is.NoErr(err)
-		_, err = a.Open(seal(t, b, message.FlowAck{Seq: 1}))
+		_, err = a.Open(seal(t, b, "a", message.FlowAck{Seq: 1}))
 		is.NoErr(err)
 		is.NoErr(b.SetKeys(keys))
 	}
-	_, err := b.Open(seal(t, codec(t, "c", 1, oldKey), message.FlowAck{}))
+	_, err := b.Open(seal(t, codec(t, "c", 1, oldKey), "b", message.FlowAck{}))
 	is.Equal(err, error(ErrKey))
 }
 
@@ -226,19 +307,19 @@
 // Guards against a bound that refuses what fits, or passes what does not.
 func TestLargestForward(t *testing.T) {
 	is := is.New(t)
-	a, b := codec(t, model.NodeID(strings.Repeat("a", MaxSenderID)), math.MaxUint64, oldKey), codec(t, "b", 1, oldKey)
+	a, b := codec(t, model.NodeID(strings.Repeat("a", MaxNodeID)), math.MaxUint64, oldKey), codec(t, model.NodeID(strings.Repeat("b", MaxNodeID)), 1, oldKey)
 	a.seq.Store(math.MaxUint64 - 4)
 	m := message.Forward{Service: "dispatch", Hops: 3}
 	empty, err := a.enc.Marshal(m)
 	is.NoErr(err)
 	m.Packet = make([]byte, MaxBody-len(empty)-2) // the head of the byte string grows by 2
-	d := seal(t, a, m)
+	d := seal(t, a, b.self, m)
 	is.Equal(len(d), MaxDatagram-1) // kinds below 24 take 1 byte of the 2 reserved
 	_, err = b.Open(d)
 	is.NoErr(err)
 	m.Packet = append(m.Packet, 0)
 	prefix := []byte("kept")
-	out, err := a.Seal(prefix, m)
+	out, err := a.Seal(prefix, b.self, m)
 	is.Equal(err, error(ErrTooLarge))
 	is.Equal(out, prefix)
 }
@@ -252,7 +333,7 @@
 	for range 8 {
 		wg.Go(func() {
 			for range 50 { // 400 in all, within the window in any order
-				d, err := a.Seal(nil, message.FlowAck{Seq: 3})
+				d, err := a.Seal(nil, "b", message.FlowAck{Seq: 3})
 				if err == nil {
 					_, err = b.Open(d)
 				}
@@ -274,7 +355,7 @@
 	for typ := range kinds {
 		v := reflect.New(typ).Elem()
 		fill(v)
-		d := seal(f, a, v.Interface().(message.Message))
+		d := seal(f, a, "b", v.Interface().(message.Message))
 		f.Add(d[:len(d)-macSize])
 	}
 	f.Fuzz(func(t *testing.T, signed []byte) {
@@ -282,7 +363,7 @@
 		for _, d := range [][]byte{signed, b.keys.Load().signing().appendMAC(append([]byte(nil), signed...), signed)} {
 			env, err := b.Open(d)
 			if err == nil {
-				if _, err := b.Seal(nil, env.Msg); err != nil && err != ErrTooLarge {
+				if _, err := b.Seal(nil, "a", env.Msg); err != nil && err != ErrTooLarge {
 					t.Fatalf("opened message %T cannot be sealed: %v", env.Msg, err)
 				}
 			} else if _, ok := err.(Error); !ok {
