Fill ServiceView.Rev, drain requests by decision file, share the store folder

Cause: quick reversals could leave two nodes with different views both settled, because views without a revision look equal again; a target drained by a file still ran new requests locally; ctl wrote to another folder (decisions/) than the balancers watched. Change: balancer core and slices fill ServiceView.Rev; admission follows the agent's own state in the view, and back; node.FilesPrefix is config.StorePrefix. Conclusion: drains by file are reversible for flows and requests alike.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -71,6 +71,7 @@
 	queue    []*request // in order of arrival
 	running  int
 	leaving  bool
+	drained  bool // leaving by a decision file only
 
 	tokens  float64 // retry budget
 	service estimate
@@ -351,6 +352,7 @@
 }
 
 func (c *Core) leave() {
+	c.drained = false // an agent that leaves by itself does not come back
 	if c.leaving {
 		return
 	}
@@ -365,6 +367,18 @@
 	}
 }
 
+// drain follows the agent's own state in the view, which a decision file may
+// change to leaving and back.
+func (c *Core) drain(on bool) {
+	switch {
+	case on && !c.leaving:
+		c.leave()
+		c.drained = true
+	case !on && c.drained:
+		c.leaving, c.drained = false, false
+	}
+}
+
 func sooner(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/admission/peers.go
+++ b/internal/admission/peers.go
@@ -100,6 +100,9 @@
 	}
 	var peers []*peer
 	for _, m := range v.Members {
+		if m.ID == c.o.Self {
+			c.drain(m.State == model.StateLeaving)
+		}
 		if m.ID == c.o.Self || m.State != model.StateActive || m.Kind == model.KindBalancer {
 			continue
 		}
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -39,6 +39,8 @@
 	members map[model.NodeID]model.Member // as this node must treat them, gone ones left out
 	agents  map[model.ServiceName][]model.NodeID
 	changed map[model.ServiceName]struct{} // services whose view must be rebuilt
+	// serviceRev is the newest store version that changed each service.
+	serviceRev map[model.ServiceName]uint64
 
 	joined, ready, serving bool
 	now                    time.Time
@@ -58,11 +60,12 @@
 			Self: gossip.NewPeer(opt.Self.ID, opt.Self.DC, opt.Self.PeerAddr),
 			Seed: model.Mix(opt.Seed),
 		}),
-		router:   route.New(opt.Router),
-		snapshot: snapshot,
-		members:  make(map[model.NodeID]model.Member),
-		agents:   make(map[model.ServiceName][]model.NodeID),
-		changed:  make(map[model.ServiceName]struct{}),
+		router:     route.New(opt.Router),
+		snapshot:   snapshot,
+		members:    make(map[model.NodeID]model.Member),
+		agents:     make(map[model.ServiceName][]model.NodeID),
+		changed:    make(map[model.ServiceName]struct{}),
+		serviceRev: make(map[model.ServiceName]uint64),
 	}
 }
 
--- a/internal/balancer/views.go
+++ b/internal/balancer/views.go
@@ -54,13 +54,27 @@
 	}
 	next, diff := c.snapshot.Update(changes)
 	c.snapshot, c.rev = next, a.Rev
-	for _, s := range diff.Services {
+	for _, s := range c.affected(diff) {
 		c.changed[s] = struct{}{}
+		c.serviceRev[s] = a.Rev
 	}
 	c.out = append(c.out, ConfigChanged{Rev: a.Rev, Services: len(next.Services()), Findings: next.Findings()})
 	c.observe(c.servicesEvent())
 }
 
+// affected returns the services that a change concerns: those whose own
+// configuration differs and those of the agents that it drains or weights.
+func (c *Core) affected(diff config.Changes) []model.ServiceName {
+	out := slices.Clone(diff.Services)
+	for _, m := range c.members {
+		if m.Kind == model.KindAgent && (slices.Contains(diff.Targets, m.Target()) || slices.Contains(diff.DataCentres, m.DC)) {
+			out = append(out, m.Service)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // servicesEvent gives the membership core what the slices of agents contain.
 func (c *Core) servicesEvent() membership.Services {
 	ev := membership.Services{
@@ -77,7 +91,7 @@
 		ev.Targets[id] = membership.Override(c.snapshot.Target(id))
 	}
 	for _, s := range c.snapshot.Services() {
-		ev.Services = append(ev.Services, membership.ServiceConfig{Service: s.Name, Addrs: s.Addresses, Policy: s.Policy})
+		ev.Services = append(ev.Services, membership.ServiceConfig{Service: s.Name, Rev: c.serviceRev[s.Name], Addrs: s.Addresses, Policy: s.Policy})
 	}
 	return ev
 }
@@ -93,7 +107,7 @@
 			c.router.RemoveService(c.now, name)
 			continue
 		}
-		view := model.ServiceView{Service: name, Addrs: s.Addresses, Policy: s.Policy}
+		view := model.ServiceView{Service: name, Rev: c.serviceRev[name], Addrs: s.Addresses, Policy: s.Policy}
 		for _, id := range c.agents[name] {
 			view.Members = append(view.Members, c.members[id])
 		}
--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -87,6 +87,7 @@
 // ServiceConfig is the configuration of one service.
 type ServiceConfig struct {
 	Service model.ServiceName
+	Rev     uint64 // see model.ServiceView.Rev
 	Addrs   []model.ServiceAddr
 	Policy  model.ServicePolicy
 }
--- a/internal/membership/slices.go
+++ b/internal/membership/slices.go
@@ -142,7 +142,7 @@
 func (o *Observer) sliceFor(agent model.Member) message.Slice {
 	conf := o.services.config[agent.Service]
 	s := message.Slice{FileRev: o.services.fileRev}
-	s.View = model.ServiceView{Service: agent.Service, Addrs: conf.Addrs, Policy: conf.Policy}
+	s.View = model.ServiceView{Service: agent.Service, Rev: conf.Rev, Addrs: conf.Addrs, Policy: conf.Policy}
 	for _, id := range o.services.members[agent.Service] {
 		if m, ok := o.Member(id); ok {
 			s.View.Members = append(s.View.Members, m)
@@ -175,7 +175,7 @@
 // digestOf covers all that a slice holds but the file revision: each change of
 // any file would otherwise send every slice again.
 func digestOf(s *message.Slice) uint64 {
-	h := s.View.Fingerprint()
+	h := model.Mix(s.View.Fingerprint() ^ s.View.Rev)
 	add := func(v uint64) { h = model.Mix(h ^ v) }
 	for i := range s.View.Members {
 		m := &s.View.Members[i]
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -8,12 +8,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/balancer"
+	"github.com/bulrushshelf/bulrushshelf/internal/config"
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/storeclient"
 )
 
 // FilesPrefix is the folder of the decision files in the store.
-const FilesPrefix = "config/"
+const FilesPrefix = config.StorePrefix
 
 // storeDuty lists and watches the decision files when the core asks for it.
 type storeDuty struct {
