node: always close the sockets when the transport stops

The sender's goroutine cancelled the AfterFunc that closes the sockets.

The sender now closes the sockets itself. TestTransportEndsWithItsContext hangs before the change, with and without -race, and passes after it.

--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -112,12 +112,11 @@
 // run receives and sends until ctx is done. handle runs on the goroutines that
 // receive and must not block.
 func (t *transport) run(ctx context.Context, g *errgroup.Group, handle func(received)) {
-	stop := context.AfterFunc(ctx, t.close)
 	for i := range t.conns {
 		g.Go(func() error { return t.receive(ctx, i, handle) })
 	}
 	g.Go(func() error {
-		defer stop()
+		defer t.close() // ends the receivers
 		t.sendLoop(ctx)
 		return nil
 	})
--- /dev/null
+++ b/internal/node/transport_test.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/wire"
+)
+
+// Guards against a stop that leaves the sockets open, so that the receivers and
+// with them the process never end.
+func TestTransportEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	codec, err := wire.New(wire.Options{Self: "a", Keys: [][]byte{make([]byte, 32)}, Counters: 1})
+	is.NoErr(err)
+	for range 300 { // the order of the goroutines that see the end differs
+		tr, err := newTransport(netip.MustParseAddrPort("127.0.0.1:0"), 2, codec, nil)
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		tr.run(ctx, &g, func(received) {})
+		cancel()
+		is.NoErr(g.Wait())
+	}
+}
