--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -13,6 +13,7 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/membership"
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/placement"
 )
 
 // senderGrace is how long packets of an authentic sender are taken before a
@@ -43,6 +44,7 @@
 	firstAt  map[model.NodeID]time.Time    // unlisted senders
 	incarn   model.Incarnation
 	draining bool
+	viewed   bool
 
 	now time.Time
 	out []Action
@@ -76,7 +78,16 @@
 }
 
 // Held returns the number of flows held.
-func (c *Core) Held() int { return c.flows.Held() }
+func (c *Core) Held() int { return c.flows.Load().Flows }
+
+// Settled reports whether the view of the service has not changed lately.
+func (c *Core) Settled(now time.Time) bool { return c.flows.Table().Settled(now) }
+
+// Table returns the placement table, which only the core changes.
+func (c *Core) Table() *placement.Table { return c.flows.Table() }
+
+// Holds reports whether this agent holds a flow.
+func (c *Core) Holds(f model.Flow) bool { return c.flows.Holds(f) }
 
 // Step handles one event. The returned slice is valid until the next call.
 func (c *Core) Step(now time.Time, ev Event) []Action {
@@ -91,7 +102,7 @@
 	case Load:
 		c.flowStep(flows.LoadChanged(ev))
 		load := ev.Load
-		load.Flows = c.flows.Held()
+		load.Flows = c.flows.Load().Flows
 		c.announce(membership.SetLoad{Load: load, FileRev: c.announcer.Slice().FileRev})
 	case Leave:
 		c.flowStep(flows.Leave{})
@@ -224,9 +235,10 @@
 		c.members[m.ID] = m
 	}
 	c.complete = len(s.Balancers) > 0 && s.AllBalancers
-	if s.FileRev == 0 {
+	if !c.viewed && len(s.View.Addrs) == 0 {
 		return // the observer has no configuration yet
 	}
+	c.viewed = true
 	c.flowStep(flows.ViewChanged{View: s.View})
 	c.out = append(c.out, ViewChanged{View: s.View})
 	if self, ok := c.members[c.announcer.Self().ID]; ok {
--- a/internal/flows/sim_test.go
+++ b/internal/flows/sim_test.go
@@ -14,24 +14,25 @@
 
 var epoch = time.Unix(1_000_000, 0)
 
-// simAddressWait is above the greatest lag of an agent's view in the histories.
-const simAddressWait = 4500 * time.Millisecond
-
 // sim drives several cores, balancers and callers in virtual time.
 type sim struct {
-	rng       *rand.Rand
-	now       time.Time
-	queue     timers
-	seq       int
-	agents    []*simAgent
-	balancers []*simBalancer
-	callers   map[model.Flow]*caller
-	packets   map[Ref]Packet // not ended yet
-	history   []record
-	counts    map[Reason]int
-	views     []model.ServiceView // the configuration in force, one for each service
-	version   int
+	rng          *rand.Rand
+	now          time.Time
+	queue        timers
+	seq          int
+	agents       []*simAgent
+	balancers    []*simBalancer
+	callers      map[model.Flow]*caller
+	packets      map[Ref]simPacket // not ended yet
+	history      []record
+	counts       map[Reason]int
+	controlBytes int
+	views        []model.ServiceView // the configuration in force, one for each service
+	version      int
 
+	quiet               bool          // callers send only opening packets
+	patience            time.Duration // of a caller without progress
+	copies              int           // more copies of each opening packet, within 20 ms
 	loss, dup           float64
 	agentLag, balancLag time.Duration
 	askOpening          bool // balancers ask the holders of a moved address about opening packets too
@@ -42,8 +43,8 @@
 	member  model.Member
 	down    bool
 	version int
-	held    []model.ServiceAddr // as announced
-	opened  int
+	held    []model.ServiceAddr // as the balancers know it
+	heldSeq [2]int              // announced, known
 }
 
 type simBalancer struct {
@@ -86,7 +87,7 @@
 // newSim starts services of the given numbers of targets, one address each.
 func newSim(seed uint64, targets ...int) *sim {
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, callers: map[model.Flow]*caller{},
-		packets: map[Ref]Packet{}, counts: map[Reason]int{}, askOpening: true}
+		packets: map[Ref]simPacket{}, counts: map[Reason]int{}, askOpening: true, patience: 20 * time.Second}
 	for i, n := range targets {
 		svc := model.ServiceName(fmt.Sprint("s", i))
 		s.views = append(s.views, model.ServiceView{Service: svc, Addrs: []model.ServiceAddr{addr(i)}, Policy: model.DefaultPolicy()})
@@ -127,15 +128,13 @@
 	}
 }
 
-func (s *sim) random(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d) + 1)) }
-
 // start adds an agent; the caller publishes it.
 func (s *sim) start(service int, started time.Time) *simAgent {
 	v := &s.views[service]
 	id := model.NodeID(fmt.Sprintf("%s-%02d", v.Service, len(s.agents)))
-	a := &simAgent{core: New(Options{Self: id, Service: v.Service, Seed: s.rng.Uint64(), AddressWait: simAddressWait}),
-		member: model.Member{ID: id, Kind: model.KindAgent, Service: v.Service, Incarnation: 1,
-			State: model.StateActive, Weight: 1, Started: started}}
+	a := &simAgent{member: model.Member{ID: id, Kind: model.KindAgent, Service: v.Service, Incarnation: 1,
+		State: model.StateActive, Weight: 1, Started: started}}
+	a.core = s.newCore(a.member)
 	s.agents = append(s.agents, a)
 	v.Members = append(slices.Clone(v.Members), a.member)
 	return a
@@ -158,6 +157,9 @@
 func (s *sim) publish() {
 	s.version++
 	version, views := s.version, slices.Clone(s.views)
+	for i := range views {
+		views[i].Rev = uint64(version)
+	}
 	for _, a := range s.agents {
 		s.after(s.random(s.agentLag), func() {
 			for _, v := range views {
@@ -193,11 +195,10 @@
 }
 
 func (s *sim) agent(id model.NodeID) *simAgent {
-	i := slices.IndexFunc(s.agents, func(a *simAgent) bool { return a.member.ID == id })
-	if i < 0 {
-		return nil
+	if i := slices.IndexFunc(s.agents, func(a *simAgent) bool { return a.member.ID == id }); i >= 0 {
+		return s.agents[i]
 	}
-	return s.agents[i]
+	return nil
 }
 
 func (s *sim) step(a *simAgent, ev Event) {
@@ -212,7 +213,6 @@
 			p := s.end(act.Ref)
 			s.record(recAccept, act.Flow, a)
 			if act.Opened {
-				a.opened++
 				s.record(recOpen, act.Flow, a)
 			}
 			s.accepted(act.Flow, p)
@@ -222,18 +222,18 @@
 			s.deliver(act.To, p)
 		case Drop:
 			s.end(act.Ref)
-			s.counts[act.Reason]++
 		case Reset:
 			s.end(act.Ref)
 			s.finish(act.Flow, recReset, a)
 		case Send:
+			s.controlBytes += controlSize(act, s.quiet)
 			s.network(func() {
 				if to := s.agent(act.To); to != nil {
 					s.step(to, Message{From: a.member.ID, Incarnation: a.member.Incarnation, Msg: act.Msg})
 				}
 			})
 		case HeldAddrs:
-			s.after(s.random(2*time.Second), func() { a.held = act.Addrs })
+			s.announce(a, act.Addrs)
 		case Count:
 			s.counts[act.Reason]++
 		}
@@ -258,7 +258,7 @@
 		if a := s.agent(to); a != nil && !a.down {
 			s.seq++
 			p.Ref = Ref(s.seq)
-			s.packets[p.Ref] = p
+			s.packets[p.Ref] = simPacket{p, a}
 			s.step(a, p)
 		}
 	})
@@ -271,7 +271,7 @@
 		panic(fmt.Sprintf("packet %d ended twice", r))
 	}
 	delete(s.packets, r)
-	return p
+	return p.Packet
 }
 
 // route sends a caller's packet through a random balancer.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/admission"
+	"github.com/bulrushshelf/bulrushshelf/internal/keys"
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/ring"
@@ -28,7 +29,7 @@
 	defaultMaxRequests = 4096
 	// eventsPerRequest is more than the events a request can have in the ring at
 	// once, so that the end of a request is never dropped.
-	eventsPerRequest = 4
+	eventsPerRequest = 6
 	// peerEvents bounds the peer messages waiting for the loop.
 	peerEvents = 4096
 	// headerTimeout bounds the time a caller takes to send a request's header.
@@ -60,6 +61,13 @@
 	// RequestAddr returns the address of a peer's PeerListener. If it is nil, the
 	// address comes from the view.
 	RequestAddr func(model.NodeID) (netip.AddrPort, bool)
+	// Homes ranks the homes of idempotency keys. If it has an Apply method, as
+	// placement.Table has, the loop gives it each view. The loop owns it. Without
+	// Homes, keys have no effect and each send of a request runs at most once.
+	Homes keys.Homes
+	// KeysOpen is a time before which no request of the service can have run;
+	// see keys.Options.Opens. Zero if there is none.
+	KeysOpen time.Time
 	// MACKeys returns the keys that authenticate moved requests. The first signs,
 	// all of them verify, so that keys can be rotated.
 	MACKeys func() [][]byte
@@ -69,6 +77,8 @@
 	// ShutdownTimeout bounds the wait for requests in progress after the context
 	// ended; 0 waits until the last one ends.
 	ShutdownTimeout time.Duration
+	// Kill cuts off the requests in progress when it ends; it may be nil.
+	Kill context.Context
 }
 
 // Front serves the requests of one agent.
@@ -77,6 +87,7 @@
 	target   *http.Client
 	peers    *http.Client
 	nonces   *nonceCache
+	idle     *idleConns
 	nextID   atomic.Uint64
 	inFlight atomic.Int64
 	leaving  atomic.Bool
@@ -94,6 +105,8 @@
 	// Owned by the loop.
 	core     *admission.Core
 	requests map[admission.RequestID]*request
+	keys     *keys.Core // nil without Homes
+	keyed    map[uint64]*request
 }
 
 // requestEvent is an event of one request. Arrivals and ends share one ring, so
@@ -101,6 +114,7 @@
 type requestEvent struct {
 	req *request // set on arrival
 	ev  admission.Event
+	key keys.Event
 }
 
 type peerMessage struct {
@@ -122,14 +136,21 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Kill == nil {
+		o.Kill = context.Background()
+	}
 	f := &Front{
-		o: o, target: newClient(), peers: newClient(), nonces: newNonceCache(),
+		o: o, target: newClient(), peers: newClient(), nonces: newNonceCache(), idle: newIdleConns(),
 		wake:     make(chan struct{}, 1),
 		requests: make(map[admission.RequestID]*request),
+		keyed:    make(map[uint64]*request),
 		core: admission.New(admission.Options{
 			Self: o.Self, Slots: o.Slots, Warmup: o.Warmup, Seed: o.Seed, MaxRequests: o.MaxRequests,
 		}),
 	}
+	if o.Homes != nil {
+		f.keys = keys.New(keys.Options{Self: o.Self, Service: o.Service, Homes: o.Homes, Opens: o.KeysOpen, MaxAttempts: o.MaxRequests})
+	}
 	f.events = ring.New[requestEvent](eventsPerRequest*o.MaxRequests, func() { f.count("front_events_dropped", "request") })
 	f.incoming = ring.New[peerMessage](peerEvents, func() { f.count("front_events_dropped", "peer_message") })
 	f.view.Store(&model.ServiceView{Service: o.Service, Policy: model.DefaultPolicy()})
@@ -144,9 +165,11 @@
 	defer stopLoop()
 	var g errgroup.Group
 	g.Go(func() error { f.run(loop); return nil })
-	servers := []*http.Server{f.serve(&g, f.o.Listener, f.serveCaller)}
+	servers := []*http.Server{f.serve(&g, f.o.Listener, f.serveCaller, func(c net.Conn, s http.ConnState) {
+		f.idle.note(f.o.Now(), c, s)
+	})}
 	if f.o.PeerListener != nil {
-		servers = append(servers, f.serve(&g, f.o.PeerListener, f.servePeer))
+		servers = append(servers, f.serve(&g, f.o.PeerListener, f.servePeer, nil))
 	}
 	<-ctx.Done()
 	f.stopping.Store(true)
@@ -159,8 +182,8 @@
 	return trace.Wrap(err)
 }
 
-func (f *Front) serve(g *errgroup.Group, ln net.Listener, h http.HandlerFunc) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+func (f *Front) serve(g *errgroup.Group, ln net.Listener, h http.HandlerFunc, connState func(net.Conn, http.ConnState)) *http.Server {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: connState}
 	if f.o.Logger != nil {
 		srv.ErrorLog = f.o.Logger.StandardLog()
 	}
@@ -174,7 +197,8 @@
 }
 
 func (f *Front) shutdown(servers []*http.Server) error {
-	ctx := context.Background()
+	kill := f.o.Kill
+	ctx := kill
 	if f.o.ShutdownTimeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, f.o.ShutdownTimeout)
@@ -187,6 +211,9 @@
 			if err != nil {
 				_ = srv.Close() // the timeout passed; the rest is cut off
 			}
+			if kill.Err() != nil {
+				return nil
+			}
 			return trace.Wrap(err, "requests still in progress after %v", f.o.ShutdownTimeout)
 		})
 	}
@@ -204,9 +231,11 @@
 	f.post(admission.ViewChanged{View: v})
 }
 
-// Leave stops the start of new requests here; they move to other agents.
+// Leave stops the start of new requests here; they move to other agents. Idle
+// connections of callers are closed after a while.
 func (f *Front) Leave() {
 	if !f.leaving.Swap(true) {
+		f.idle.leave(f.o.Now())
 		f.post(admission.Leave{})
 	}
 }
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -47,8 +47,12 @@
 	Warmup    time.Duration // of the target's slots
 	Flows     flows.Options
 	Intervals membership.Intervals
+	Keepalive netstack.Keepalive // of the callers' connections
 	Metrics   *telemetry.Metrics
 	Logger    *log.Logger
+	// KeysOpen is a time before which no keyed request of the service can have
+	// run, see keys.Options.Opens; zero if there is none.
+	KeysOpen time.Time
 	// DrainTimeout bounds the wait for the last flow at a stop; 0 waits for it.
 	DrainTimeout time.Duration
 }
@@ -62,11 +66,14 @@
 	listener  *netstack.Listener
 	requests  net.Listener
 	front     *front.Front
+	homes     *keyHomes
 	out       *net.UDPConn
 
 	packets  *ring.Ring[forwarded]
 	messages *ring.Ring[received]
 	leave    chan bool // true for the final announcement
+	calls    calls
+	started  time.Time
 	held     map[flows.Ref]forwarded
 	nextRef  flows.Ref
 	resets   packet.ResetBuilder
@@ -78,6 +85,9 @@
 	configRev atomic.Uint64
 	draining  atomic.Bool
 	incarn    model.Incarnation
+
+	killed context.Context // ends when Run is killed
+	kill   context.CancelFunc
 }
 
 // forwarded is a packet that another process sent.
@@ -98,7 +108,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	a := &Agent{opt: opt, held: make(map[flows.Ref]forwarded), leave: make(chan bool, 2)}
+	a := &Agent{opt: opt, held: make(map[flows.Ref]forwarded), leave: make(chan bool, 2), calls: make(calls), started: time.Now()}
+	a.killed, a.kill = context.WithCancel(context.Background())
 	if a.transport, err = newTransport(opt.Self.PeerAddr, opt.Paths, codec, opt.Metrics); err != nil {
 		return nil, err
 	}
@@ -128,7 +139,10 @@
 	if a.requests, err = net.Listen("tcp", a.opt.Self.RequestAddr.String()); err != nil {
 		return trace.Wrap(err, "request address %s", a.opt.Self.RequestAddr)
 	}
-	a.stack, err = netstack.New(netstack.Options{Output: func(p []byte) { _, _ = a.out.Write(p) }})
+	a.stack, err = netstack.New(netstack.Options{
+		Output:    func(p []byte) { _, _ = a.out.Write(p) },
+		Keepalive: a.opt.Keepalive,
+	})
 	if err != nil {
 		return err
 	}
@@ -137,19 +151,25 @@
 }
 
 func (a *Agent) newFront() (err error) {
+	settle := a.opt.Flows.Settle
+	if settle == 0 {
+		settle = flows.DefaultSettle
+	}
+	a.homes = newKeyHomes(a.opt.Self.ID, settle)
 	a.front, err = front.New(front.Options{
 		Self: a.opt.Self.ID, Service: a.opt.Self.Service,
 		Listener: a.listener, PeerListener: a.requests, Target: a.opt.Target,
 		Slots: a.opt.Self.Slots, Warmup: a.opt.Warmup, Seed: model.Mix(a.opt.Seed + 1),
-		Peers: a, MACKeys: func() [][]byte { return a.opt.Keys },
+		Peers: a, Homes: a.homes, KeysOpen: a.opt.KeysOpen, MACKeys: func() [][]byte { return a.opt.Keys },
 		Metrics: a.opt.Metrics, Logger: a.opt.Logger,
-		ShutdownTimeout: a.opt.DrainTimeout,
+		ShutdownTimeout: a.opt.DrainTimeout, Kill: a.killed,
 	})
 	return trace.Wrap(err)
 }
 
 // Close releases the sockets of an agent that was not run.
 func (a *Agent) Close() {
+	a.kill()
 	a.transport.close()
 	if a.requests != nil {
 		_ = a.requests.Close()
@@ -216,8 +236,15 @@
 func (a *Agent) Run(ctx, kill context.Context) error {
 	defer a.stack.Close()
 	defer a.out.Close()
-	running, stop := context.WithCancel(kill)
+	running, stop := context.WithCancel(context.WithoutCancel(kill))
 	defer stop()
+	stopKill := context.AfterFunc(kill, func() {
+		_ = a.out.Close() // first: callers get no end or reset from a crashed process
+		a.kill()
+		stop()
+	})
+	defer stopKill()
+	defer a.kill()
 	frontCtx, stopFront := context.WithCancel(running)
 	defer stopFront()
 	g, gctx := errgroup.WithContext(running)
@@ -290,10 +317,14 @@
 		if !a.packets.Put(p) {
 			buf.free()
 		}
+	case message.HeartbeatAck:
+		a.homes.contact(time.Now())
+		a.messages.Put(r)
 	case message.LoadReport:
 		a.front.Deliver(r.env.From, r.env.Msg)
 		a.messages.Put(r)
-	case message.Reserve, message.ReserveReply, message.KeyBegin, message.KeyReply, message.KeyDone, message.KeyDoneAck, message.KeyCopy:
+	case message.Reserve, message.ReserveReply, message.KeyBegin, message.KeyReply, message.KeyDone, message.KeyDoneAck,
+		message.KeyCopy, message.KeyPull:
 		a.front.Deliver(r.env.From, r.env.Msg)
 	default:
 		a.messages.Put(r)
@@ -311,6 +342,8 @@
 			a.packet(p)
 		case r := <-a.messages.Items():
 			a.step(agent.Received{From: r.env.From, Incarnation: r.env.Incarnation, Addr: r.addr, Msg: r.env.Msg})
+		case call := <-a.calls:
+			call()
 		case final := <-a.leave:
 			a.step(agent.Leave{Final: final})
 		case now := <-tick.C:
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -86,7 +86,10 @@
 	}
 	return &Client{
 		o: o, base: base,
-		transport: &http.Transport{MaxIdleConns: 4, IdleConnTimeout: time.Minute},
+		// Each call opens its own connection: an open one may have gone silent, and
+		// the transport resends a read by itself, without a count, when a reused
+		// connection breaks. Calls are rare enough for the extra round trip.
+		transport: &http.Transport{DisableKeepAlives: true},
 		rand:      rand.New(rand.NewPCG(o.Seed, 0)),
 	}, nil
 }
@@ -102,9 +105,6 @@
 	}
 }
 
-// Close closes the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
-
 // call is one call of the API.
 type call struct {
 	method string
@@ -138,9 +138,6 @@
 			return c.decode(k, resp, data, out)
 		}
 	}
-	// An open connection may have gone silent; the next attempt must not reuse
-	// one that was opened before this failure.
-	c.transport.CloseIdleConnections()
 	kind := Lost
 	if !connected.Load() {
 		kind = Unavailable
