message, model: integer CBOR keys in all peer messages

Most messages still carried the names of their fields. All structs that peer messages reach now have integer keys and omit zero values.

TestStrictCBOR and TestFieldsOfOtherReleases named fields by text and now use the keys, for the same faults; TestLargestForward reserves 4 bytes for the packet's key and head, as an empty packet is omitted.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -1,5 +1,6 @@
 // Package message defines the messages that balancers and agents send each
 // other over UDP, as plain structs. Package wire encodes and authenticates them.
+// Fields have integer CBOR keys, which are never reused.
 package message
 
 import (
@@ -37,13 +38,13 @@
 // Slice is what an agent needs to know: the view of its own service and the
 // balancers that may forward packets to it.
 type Slice struct {
-	View      model.ServiceView
-	Balancers []model.Member
+	View      model.ServiceView `cbor:"1,keyasint,omitzero"`
+	Balancers []model.Member    `cbor:"2,keyasint,omitzero"`
 	// AllBalancers is set when Balancers lists every live balancer. Above a few
 	// dozen it lists only those of the agent's data centre that it should use.
-	AllBalancers bool
-	Digest       uint64
-	FileRev      uint64
+	AllBalancers bool   `cbor:"3,keyasint,omitzero"`
+	Digest       uint64 `cbor:"4,keyasint,omitzero"`
+	FileRev      uint64 `cbor:"5,keyasint,omitzero"`
 }
 
 // MemberDelta spreads changed member records. Contacts stay within one data centre.
@@ -63,26 +64,26 @@
 
 // Suspicion is one observer's opinion that a member is unreachable.
 type Suspicion struct {
-	ID          model.NodeID
-	Incarnation model.Incarnation
-	Seq         uint64
-	Observer    model.NodeID
+	ID          model.NodeID      `cbor:"1,keyasint,omitzero"`
+	Incarnation model.Incarnation `cbor:"2,keyasint,omitzero"`
+	Seq         uint64            `cbor:"3,keyasint,omitzero"`
+	Observer    model.NodeID      `cbor:"4,keyasint,omitzero"`
 }
 
 // File is one decision file at one store version. Removed files keep an entry
 // without content so that an older delta cannot bring them back.
 type File struct {
-	Name    string
-	Version uint64
-	Removed bool
-	Content []byte
+	Name    string `cbor:"1,keyasint,omitzero"`
+	Version uint64 `cbor:"2,keyasint,omitzero"`
+	Removed bool   `cbor:"3,keyasint,omitzero"`
+	Content []byte `cbor:"4,keyasint,omitzero"`
 }
 
 // FileDelta spreads changed decision files. If Floor is not 0 the receiver
 // drops each file it holds at or below Floor that Files does not list.
 type FileDelta struct {
-	Floor uint64
-	Files []File
+	Floor uint64 `cbor:"1,keyasint,omitzero"`
+	Files []File `cbor:"2,keyasint,omitzero"`
 }
 
 // MapID names a replicated map.
@@ -106,25 +107,25 @@
 
 // Pull asks for the entries of the named buckets.
 type Pull struct {
-	Map     MapID
-	Buckets []uint16
+	Map     MapID    `cbor:"1,keyasint,omitzero"`
+	Buckets []uint16 `cbor:"2,keyasint,omitzero"`
 }
 
 // Forward carries one IP packet from a balancer or an agent to an agent.
 type Forward struct {
-	Service  model.ServiceName
-	ViewHash uint64 // fingerprint of the view that the sender ranked by
-	Hops     uint8  // agents that may still pass the packet on
-	Assigned bool   // the flow's home chose the receiver as holder
-	Packet   []byte
+	Service  model.ServiceName `cbor:"1,keyasint,omitzero"`
+	ViewHash uint64            `cbor:"2,keyasint,omitzero"` // fingerprint of the view that the sender ranked by
+	Hops     uint8             `cbor:"3,keyasint,omitzero"` // agents that may still pass the packet on
+	Assigned bool              `cbor:"4,keyasint,omitzero"` // the flow's home chose the receiver as holder
+	Packet   []byte            `cbor:"5,keyasint,omitzero"`
 }
 
 // FlowAsk asks whether the receiver holds a flow.
 type FlowAsk struct {
-	ID      uint64 // chosen by the asker, echoed in the answer
-	Service model.ServiceName
-	Flow    model.Flow
-	Opening bool // the asker will open the flow when nobody holds it
+	ID      uint64            `cbor:"1,keyasint,omitzero"` // chosen by the asker, echoed in the answer
+	Service model.ServiceName `cbor:"2,keyasint,omitzero"`
+	Flow    model.Flow        `cbor:"3,keyasint,omitzero"`
+	Opening bool              `cbor:"4,keyasint,omitzero"` // the asker will open the flow when nobody holds it
 }
 
 // Verdict is the answer to a FlowAsk.
@@ -140,68 +141,68 @@
 
 // FlowAnswer answers a FlowAsk.
 type FlowAnswer struct {
-	ID      uint64
-	Flow    model.Flow
-	Verdict Verdict
-	Holder  model.NodeID
+	ID      uint64       `cbor:"1,keyasint,omitzero"`
+	Flow    model.Flow   `cbor:"2,keyasint,omitzero"`
+	Verdict Verdict      `cbor:"3,keyasint,omitzero"`
+	Holder  model.NodeID `cbor:"4,keyasint,omitzero"`
 }
 
 // FlowRegister tells a home which flows the sender holds. Seq is echoed in the
 // FlowAck; an unacknowledged batch is sent again.
 type FlowRegister struct {
-	Seq   uint64
-	Flows []model.Flow
+	Seq   uint64       `cbor:"1,keyasint,omitzero"`
+	Flows []model.Flow `cbor:"2,keyasint,omitzero"`
 }
 
 // FlowRelease tells a home that the sender no longer holds the flows.
 type FlowRelease struct {
-	Seq   uint64
-	Flows []model.Flow
+	Seq   uint64       `cbor:"1,keyasint,omitzero"`
+	Flows []model.Flow `cbor:"2,keyasint,omitzero"`
 }
 
 // FlowAck acknowledges a FlowRegister or FlowRelease.
 type FlowAck struct {
-	Seq uint64
+	Seq uint64 `cbor:"1,keyasint,omitzero"`
 }
 
 // FlowHint tells a balancer the holder of a flow. It saves a hop and is never
 // needed for a right decision.
 type FlowHint struct {
-	Flow   model.Flow
-	Holder model.NodeID
+	Flow   model.Flow   `cbor:"1,keyasint,omitzero"`
+	Holder model.NodeID `cbor:"2,keyasint,omitzero"`
 }
 
 // LoadReport carries an agent's own counts to agents of the same service.
 type LoadReport struct {
-	Load model.Load
+	Load model.Load `cbor:"1,keyasint,omitzero"`
 }
 
 // Reserve asks an agent to keep a slot for a request that the sender will move
 // there. With Release set it gives the reservation back.
 type Reserve struct {
-	ID      uint64        // grows with each Reserve; echoed in the reply and in the moved request
-	Waited  time.Duration // by the sender's oldest request; free slots go to the oldest
-	Queue   bool          // a place in the queue is enough, because the sender is leaving
-	Release bool
+	ID      uint64        `cbor:"1,keyasint,omitzero"` // grows with each Reserve; echoed in the reply and in the moved request
+	Waited  time.Duration `cbor:"2,keyasint,omitzero"` // by the sender's oldest request; free slots go to the oldest
+	Queue   bool          `cbor:"3,keyasint,omitzero"` // a place in the queue is enough, because the sender is leaving
+	Release bool          `cbor:"4,keyasint,omitzero"`
 }
 
 // ReserveReply answers a Reserve, a second time when a slot becomes free for a
 // sender that was told to wait.
 type ReserveReply struct {
-	ID      uint64
-	Granted bool
-	Waiting bool // not granted yet; a grant follows when a slot is free
-	Load    model.Load
+	ID      uint64     `cbor:"1,keyasint,omitzero"`
+	Granted bool       `cbor:"2,keyasint,omitzero"`
+	Waiting bool       `cbor:"3,keyasint,omitzero"` // not granted yet; a grant follows when a slot is free
+	Load    model.Load `cbor:"4,keyasint,omitzero"`
 }
 
 // KeyBegin asks a home to record a key before its request runs.
 type KeyBegin struct {
-	ID          uint64
-	Service     model.ServiceName
-	Key         string
-	Fingerprint uint64 // of the request's method, path and body
-	ViewHash    uint64
-	Issued      time.Time // the key's own time, zero if it has none
+	ID          uint64            `cbor:"1,keyasint,omitzero"`
+	Service     model.ServiceName `cbor:"2,keyasint,omitzero"`
+	Key         string            `cbor:"3,keyasint,omitzero"`
+	Fingerprint uint64            `cbor:"4,keyasint,omitzero"` // of the request's method, path and body
+	ViewHash    uint64            `cbor:"5,keyasint,omitzero"`
+	Issued      time.Time         `cbor:"6,keyasint,omitzero"` // the key's own time, zero if it has none
 }
 
 // KeyVerdict is a home's answer to a KeyBegin.
@@ -230,35 +231,35 @@
 
 // Answer is a stored answer to a keyed request.
 type Answer struct {
-	Status int
-	Header map[string][]string
-	Body   []byte
+	Status int                 `cbor:"1,keyasint,omitzero"`
+	Header map[string][]string `cbor:"2,keyasint,omitzero"`
+	Body   []byte              `cbor:"3,keyasint,omitzero"`
 	// Truncated is set when the body was larger than a record may hold; the
 	// request ran, but its answer cannot be repeated.
-	Truncated bool
+	Truncated bool `cbor:"4,keyasint,omitzero"`
 }
 
 // KeyReply answers a KeyBegin.
 type KeyReply struct {
-	ID      uint64
-	Key     string
-	Verdict KeyVerdict
-	Answer  *Answer
+	ID      uint64     `cbor:"1,keyasint,omitzero"`
+	Key     string     `cbor:"2,keyasint,omitzero"`
+	Verdict KeyVerdict `cbor:"3,keyasint,omitzero"`
+	Answer  *Answer    `cbor:"4,keyasint,omitzero"`
 }
 
 // KeyDone tells a home that the request of a key ended. A nil Answer with
 // Outcome OutcomeNotRun removes the record.
 type KeyDone struct {
-	ID      uint64
-	Service model.ServiceName
-	Key     string
-	Outcome Outcome
-	Answer  *Answer
+	ID      uint64            `cbor:"1,keyasint,omitzero"`
+	Service model.ServiceName `cbor:"2,keyasint,omitzero"`
+	Key     string            `cbor:"3,keyasint,omitzero"`
+	Outcome Outcome           `cbor:"4,keyasint,omitzero"`
+	Answer  *Answer           `cbor:"5,keyasint,omitzero"`
 }
 
 // KeyDoneAck acknowledges a KeyDone.
 type KeyDoneAck struct {
-	ID uint64
+	ID uint64 `cbor:"1,keyasint,omitzero"`
 }
 
 // Outcome says whether a request ran.
@@ -286,55 +287,55 @@
 
 // KeyRecord is a key's record as copied between homes.
 type KeyRecord struct {
-	Key         string
-	ID          uint64 // of the runner's KeyBegin
-	Fingerprint uint64
-	Runner      model.NodeID
-	Incarnation model.Incarnation // of the runner
-	Outcome     Outcome           // 0 while the request runs
-	Answer      *Answer
-	Recorded    time.Time
+	Key         string            `cbor:"1,keyasint,omitzero"`
+	ID          uint64            `cbor:"2,keyasint,omitzero"` // of the runner's KeyBegin
+	Fingerprint uint64            `cbor:"3,keyasint,omitzero"`
+	Runner      model.NodeID      `cbor:"4,keyasint,omitzero"`
+	Incarnation model.Incarnation `cbor:"5,keyasint,omitzero"` // of the runner
+	Outcome     Outcome           `cbor:"6,keyasint,omitzero"` // 0 while the request runs
+	Answer      *Answer           `cbor:"7,keyasint,omitzero"`
+	Recorded    time.Time         `cbor:"8,keyasint,omitzero"`
 }
 
 // KeyPull asks an agent for the records of key buckets that the sender is a
 // home of now.
 type KeyPull struct {
-	ID       uint64
-	Service  model.ServiceName
-	ViewHash uint64
-	Buckets  []uint16
+	ID       uint64            `cbor:"1,keyasint,omitzero"`
+	Service  model.ServiceName `cbor:"2,keyasint,omitzero"`
+	ViewHash uint64            `cbor:"3,keyasint,omitzero"`
+	Buckets  []uint16          `cbor:"4,keyasint,omitzero"`
 }
 
 // KeyCoverage says since when an agent knows every key of some buckets. The
 // zero time stands for always.
 type KeyCoverage struct {
-	Since   time.Time
-	Buckets []uint16
+	Since   time.Time `cbor:"1,keyasint,omitzero"`
+	Buckets []uint16  `cbor:"2,keyasint,omitzero"`
 }
 
 // KeyCopy answers a KeyPull in one or more parts.
 type KeyCopy struct {
-	ID      uint64
-	Service model.ServiceName
-	Part    int // from 0
-	Parts   int
-	Records []KeyRecord
+	ID      uint64            `cbor:"1,keyasint,omitzero"`
+	Service model.ServiceName `cbor:"2,keyasint,omitzero"`
+	Part    int               `cbor:"3,keyasint,omitzero"` // from 0
+	Parts   int               `cbor:"4,keyasint,omitzero"`
+	Records []KeyRecord       `cbor:"5,keyasint,omitzero"`
 	// Answered lists the buckets that this answer is about, Covers those of them
 	// that the sender covers. Both are in the last part.
-	Answered []uint16
-	Covers   []KeyCoverage
+	Answered []uint16      `cbor:"6,keyasint,omitzero"`
+	Covers   []KeyCoverage `cbor:"7,keyasint,omitzero"`
 }
 
 // Probe tests one path between two nodes; ProbeAck answers it over the same path.
 type Probe struct {
-	ID   uint64
-	Path uint8
+	ID   uint64 `cbor:"1,keyasint,omitzero"`
+	Path uint8  `cbor:"2,keyasint,omitzero"`
 }
 
 // ProbeAck answers a Probe.
 type ProbeAck struct {
-	ID   uint64
-	Path uint8
+	ID   uint64 `cbor:"1,keyasint,omitzero"`
+	Path uint8  `cbor:"2,keyasint,omitzero"`
 }
 
 func (Heartbeat) peerMessage()    {}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -204,16 +204,16 @@
 // ServiceView is what a node believes about one service: its configuration and
 // the members behind it. Members are in order of their IDs.
 type ServiceView struct {
-	Service ServiceName
-	Addrs   []ServiceAddr
-	Members []Member
-	Policy  ServicePolicy
+	Service ServiceName   `cbor:"1,keyasint,omitzero"`
+	Addrs   []ServiceAddr `cbor:"2,keyasint,omitzero"`
+	Members []Member      `cbor:"3,keyasint,omitzero"`
+	Policy  ServicePolicy `cbor:"4,keyasint,omitzero"`
 
 	// Rev rises with each configuration change that affects the service, also
 	// with one that restores earlier values, so that a node that saw only the
 	// views before and after two opposite changes knows that there were changes.
 	// It is not part of the fingerprint.
-	Rev uint64
+	Rev uint64 `cbor:"5,keyasint,omitzero"`
 }
 
 // Fingerprint is equal for views that rank targets alike: it covers the IDs,
@@ -236,11 +236,11 @@
 
 // ServicePolicy is the part of a service's configuration that agents act on.
 type ServicePolicy struct {
-	Queue             int           // waiting requests per target
-	Deadline          time.Duration // for requests that carry none
-	Warmup            time.Duration // ramp of a new target's weight
-	KeyRetention      time.Duration // how long the answer to a key is kept
-	IdempotentMethods []string
+	Queue             int           `cbor:"1,keyasint,omitzero"` // waiting requests per target
+	Deadline          time.Duration `cbor:"2,keyasint,omitzero"` // for requests that carry none
+	Warmup            time.Duration `cbor:"3,keyasint,omitzero"` // ramp of a new target's weight
+	KeyRetention      time.Duration `cbor:"4,keyasint,omitzero"` // how long the answer to a key is kept
+	IdempotentMethods []string      `cbor:"5,keyasint,omitzero"`
 }
 
 // DefaultPolicy is in force where no decision file sets a field.
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -46,7 +46,8 @@
 
 // unaddressed reports whether the kind may be sent to a seed whose name is not
 // known yet. A captured datagram of such a kind can be replayed to every process
-// once; the record or digest in it carries versions of its own.
+// once. The record or digest in it has versions of its own, but a replayed
+// heartbeat delays the suspicion of a sender that died.
 func (k kind) unaddressed() bool { return k == kindHeartbeat || k == kindDigest }
 
 type decoder func(cbor.DecMode, []byte) (message.Message, error)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -235,12 +235,12 @@
 // Guards against bodies that a strict decoder must refuse.
 func TestStrictCBOR(t *testing.T) {
 	for _, body := range []string{
-		"a2" + "624944" + "01" + "624944" + "02", // {"ID": 1, "ID": 2}
-		"bf" + "624944" + "01" + "ff",            // indefinite length
-		"a1" + "624944" + "c101",                 // tag
-		"a1" + "624944" + "01" + "00",            // bytes after the message
-		"a1" + "624944" + "20",                   // a negative id
-		strings.Repeat("81", 40) + "01",          // nesting
+		"a2" + "01" + "01" + "01" + "02", // {1: 1, 1: 2}
+		"bf" + "01" + "01" + "ff",        // indefinite length
+		"a1" + "01" + "c101",             // tag
+		"a1" + "01" + "01" + "00",        // bytes after the message
+		"a1" + "01" + "20",               // a negative id
+		strings.Repeat("81", 40) + "01",  // nesting
 	} {
 		is := is.New(t)
 		raw, err := hex.DecodeString(body)
@@ -258,15 +258,17 @@
 	is := is.New(t)
 	a, b := codec(t, "a", 5, oldKey), codec(t, "b", 1, oldKey)
 	newer, err := a.seal(nil, Version, "b", kindProbe, struct {
-		ID    uint64
-		Path  uint8
-		Added []string
+		ID    uint64   `cbor:"1,keyasint"`
+		Path  uint8    `cbor:"2,keyasint"`
+		Added []string `cbor:"99,keyasint"`
 	}{9, 2, []string{"x"}})
 	is.NoErr(err)
 	env, err := b.Open(newer)
 	is.NoErr(err)
 	is.Equal(env.Msg, message.Probe{ID: 9, Path: 2})
-	older, err := a.seal(nil, Version, "b", kindProbe, struct{ ID uint64 }{9})
+	older, err := a.seal(nil, Version, "b", kindProbe, struct {
+		ID uint64 `cbor:"1,keyasint"`
+	}{9})
 	is.NoErr(err)
 	env, err = b.Open(older)
 	is.NoErr(err)
@@ -315,7 +317,7 @@
 	m := message.Forward{Service: "dispatch", Hops: 3}
 	empty, err := a.enc.Marshal(m)
 	is.NoErr(err)
-	m.Packet = make([]byte, MaxBody-len(empty)-2) // the head of the byte string grows by 2
+	m.Packet = make([]byte, MaxBody-len(empty)-4) // less the key and the head of the byte string
 	d := seal(t, a, b.self, m)
 	is.Equal(len(d), MaxDatagram-1) // kinds below 24 take 1 byte of the 2 reserved
 	_, err = b.Open(d)
