--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"runtime"
 	"testing"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 )
 
@@ -35,3 +37,57 @@
 		})
 	}
 }
+
+// BenchmarkMessages reports the cost of the frequent messages and their size;
+// for Forward without the packet.
+func BenchmarkMessages(b *testing.B) {
+	const packetSize = 1400
+	load := model.Load{Flows: 32_500, Busy: 3, Queued: 12}
+	flow := model.Flow{
+		Src:   netip.MustParseAddrPort("198.51.100.7:40000"),
+		Dst:   netip.MustParseAddrPort("10.80.0.1:80"),
+		Proto: model.TCP,
+	}
+	const hash = 0x9e3779b97f4a7c15
+	for _, c := range []struct {
+		name    string
+		payload int
+		msg     message.Message
+	}{
+		{"Heartbeat", 0, message.Heartbeat{Incarnation: 1_790_000_000_000, Seq: 9, SliceDigest: hash, FileRev: 8600, Load: load}},
+		{"HeartbeatAck", 0, message.HeartbeatAck{Seq: 9, State: model.StateActive, SliceDigest: hash}},
+		{"LoadReport", 0, message.LoadReport{Load: load}},
+		{"Forward", packetSize, message.Forward{Service: "dispatch", ViewHash: hash, Hops: 4, Packet: make([]byte, packetSize)}},
+		{"FlowAsk", 0, message.FlowAsk{ID: 1_000_000, Service: "dispatch", Flow: flow, Opening: true}},
+	} {
+		from := codec(b, "dk-east-a-entry-1", 1_790_000_000_000, oldKey)
+		const to = "dk-east-a-dispatch-1"
+		b.Run("Seal/"+c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			var buf []byte
+			var err error
+			for b.Loop() {
+				if buf, err = from.Seal(buf[:0], to, c.msg); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(buf)-c.payload), "wire-B")
+		})
+		b.Run("Open/"+c.name, func(b *testing.B) {
+			receiver := codec(b, to, 1, oldKey)
+			datagram := seal(b, from, to, c.msg)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := receiver.Open(datagram); err != nil {
+					b.Fatal(err)
+				}
+				// Lets the same datagram pass again.
+				s := receiver.replay.shards[model.HashString(string(from.self))%replayShards].byID[from.self]
+				s.highest, s.control = [streams]uint64{}, [windowWords]uint64{}
+				if s.forward != nil {
+					clear(s.forward[:])
+				}
+			}
+		})
+	}
+}
