--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -24,7 +24,7 @@
 				table = newReplayTable(DefaultMaxSenders)
 				for i := range senders {
 					for _, st := range sts {
-						if err := table.accept(model.NodeID(fmt.Sprintf("dk-east-a-entry-%05d", i)), 1, st, 1); err != nil {
+						if err := accept(table, model.NodeID(fmt.Sprintf("dk-east-a-entry-%05d", i)), 1, st, 1); err != nil {
 							b.Fatal(err)
 						}
 					}
--- a/internal/wire/replay.go
+++ b/internal/wire/replay.go
@@ -65,14 +65,15 @@
 	return t
 }
 
-// accept records a sequence or tells why the message must be dropped.
-func (t *replayTable) accept(id model.NodeID, inc model.Incarnation, st stream, seq uint64) error {
-	s := &t.shards[model.HashString(string(id))%replayShards]
+// accept records a sequence or tells why the message must be dropped. It returns
+// the sender's name as remembered, so that a known one is not allocated again.
+func (t *replayTable) accept(name []byte, inc model.Incarnation, st stream, seq uint64) (model.NodeID, error) {
+	s := &t.shards[model.HashString(string(name))%replayShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	from := s.byID[id]
+	from := s.byID[model.NodeID(name)]
 	if from == nil {
-		from = s.add(id)
+		from = s.add(model.NodeID(name))
 		from.incarnation = inc
 	} else {
 		// Not for the first message: if all were active, the search would
@@ -81,14 +82,14 @@
 	}
 	switch {
 	case inc < from.incarnation:
-		return ErrStale
+		return "", ErrStale
 	case inc > from.incarnation:
-		*from = sender{id: id, incarnation: inc, active: true}
+		*from = sender{id: from.id, incarnation: inc, active: true}
 	}
 	if !from.mark(st, seq) {
-		return ErrReplay
+		return "", ErrReplay
 	}
-	return nil
+	return from.id, nil
 }
 
 // add makes room for a sender and adds it.
--- a/internal/wire/replay_test.go
+++ b/internal/wire/replay_test.go
@@ -10,6 +10,11 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 )
 
+func accept(t *replayTable, id model.NodeID, inc model.Incarnation, st stream, seq uint64) error {
+	_, err := t.accept([]byte(id), inc, st, seq)
+	return err
+}
+
 // Guards against a window that accepts a sequence twice or refuses a new one
 // within it. The model remembers every sequence.
 func TestWindowAgreesWithModel(t *testing.T) {
@@ -49,13 +54,13 @@
 	is := is.New(t)
 	table := newReplayTable(replayShards)
 	for inc := range model.Incarnation(2) {
-		is.NoErr(table.accept("a", inc, streamForward, 1_000_000))
+		is.NoErr(accept(table, "a", inc, streamForward, 1_000_000))
 		for st := range streams {
-			is.NoErr(table.accept("a", inc, st, 999_999))
-			is.Equal(table.accept("a", inc, st, 999_999), error(ErrReplay))
+			is.NoErr(accept(table, "a", inc, st, 999_999))
+			is.Equal(accept(table, "a", inc, st, 999_999), error(ErrReplay))
 		}
 	}
-	is.NoErr(table.accept("a", 2, streamForward, 1))
+	is.NoErr(accept(table, "a", 2, streamForward, 1))
 }
 
 // Guards against growth with the number of senders, and against forgetting the
@@ -64,13 +69,13 @@
 	is := is.New(t)
 	table := newReplayTable(replayShards * 4)
 	for i := range uint64(10_000) {
-		is.NoErr(table.accept("kept", 1, streamControl, i+1))
-		is.NoErr(table.accept(model.NodeID(fmt.Sprint("passing-", i)), 1, streamControl, 1))
+		is.NoErr(accept(table, "kept", 1, streamControl, i+1))
+		is.NoErr(accept(table, model.NodeID(fmt.Sprint("passing-", i)), 1, streamControl, 1))
 	}
 	held, evicted := table.stats()
 	is.Equal(held, replayShards*4)
 	is.Equal(evicted, uint64(10_001-replayShards*4))
-	is.Equal(table.accept("kept", 1, streamControl, 10_000), error(ErrReplay))
-	is.NoErr(table.accept("kept", 2, streamControl, 1)) // restarted
-	is.Equal(table.accept("kept", 1, streamControl, 10_001), error(ErrStale))
+	is.Equal(accept(table, "kept", 1, streamControl, 10_000), error(ErrReplay))
+	is.NoErr(accept(table, "kept", 2, streamControl, 1)) // restarted
+	is.Equal(accept(table, "kept", 1, streamControl, 10_001), error(ErrStale))
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -215,14 +215,14 @@
 	if !ok {
 		return Envelope{}, ErrMalformed
 	}
-	from := model.NodeID(h.from)
 	switch {
-	case from == c.self:
+	case string(h.from) == string(c.self):
 		return Envelope{}, ErrSelf
 	case len(h.to) == 0 && !h.kind.unaddressed(), len(h.to) > 0 && string(h.to) != string(c.self):
 		return Envelope{}, ErrRecipient
 	}
-	if err := c.replay.accept(from, model.Incarnation(h.incarnation), streamOf(len(h.to) > 0, h.kind), h.seq); err != nil {
+	from, err := c.replay.accept(h.from, model.Incarnation(h.incarnation), streamOf(len(h.to) > 0, h.kind), h.seq)
+	if err != nil {
 		return Envelope{}, err
 	}
 	decode := decoders[h.kind]
