route: ask former holders about opening packets on moved addresses

Cause: a SYN on a moved address went straight to the new owner, so a copy of a SYN that a target of the former service had answered opened the flow twice.

Change: an opening packet is asked about like any other. It goes to a former target only on that target's own answer, else to the owner. Without an answer after three sends it goes to the owner, counted as opened_unanswered. Hints are not used for opening packets. The home that explain-flow shows comes from Router.Home, because Route may now answer Ask for an opening packet.

--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -75,6 +75,11 @@
 	return c.router.Route(now, p)
 }
 
+// Home returns the decision about a packet that opens a flow which nobody holds.
+func (c *Core) Home(now time.Time, f model.Flow) route.Decision {
+	return c.router.Home(now, f)
+}
+
 // Addr returns the peer address of a member.
 func (c *Core) Addr(id model.NodeID) (netip.AddrPort, bool) {
 	m, ok := c.members[id]
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -23,8 +23,9 @@
 
 // Waiting hands over a packet for which Route gave the verdict route.Ask.
 type Waiting struct {
-	Ref  route.Ref
-	Flow model.Flow
+	Ref     route.Ref
+	Flow    model.Flow
+	Opening bool
 }
 
 // StoreList is the answer to a List action: all files as of store version Rev.
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -118,8 +118,7 @@
 		if d.Verdict == route.Ask {
 			out.Reason = "former holders of the address are asked first"
 		}
-		home := a.B.core.Route(time.Now(), &packet.Info{Flow: flow, SYN: true})
-		out.Home, out.Settled = home.To, a.B.core.Serving()
+		out.Home, out.Settled = a.B.core.Home(time.Now(), flow).To, a.B.core.Serving()
 	})
 	if !ok {
 		return admin.ExplainFlowResult{}, errStopped
--- a/internal/route/asks.go
+++ b/internal/route/asks.go
@@ -35,47 +35,54 @@
 
 // ask is one flow that former holders are asked about.
 type ask struct {
-	id     uint64
-	flow   model.Flow
-	hash   uint64
-	since  time.Time // of the move that the asked members belong to
-	refs   []Ref
-	asked  []asked
-	sends  int
-	resend time.Time
+	id      uint64
+	flow    model.Flow
+	hash    uint64
+	since   time.Time // of the move that the asked members belong to
+	packets []waitingPacket
+	asked   []asked
+	sends   int
+	resend  time.Time
+}
+
+type waitingPacket struct {
+	ref     Ref
+	opening bool
 }
 
 type asked struct {
 	svc  *service
 	id   model.NodeID
 	hash uint64 // of id
-	none bool   // answered that it knows no holder
+	none bool   // answered that it does not hold the flow
 }
 
 // wait takes a packet of a flow that must be asked about.
 func (r *Router) wait(now time.Time, ev Waiting) []Action {
 	at := r.addrs[ev.Flow.ServiceAddr()]
 	hash := ev.Flow.Hash()
+	opening := ev.Opening && ev.Flow.Proto == model.TCP // as in Route
 	if at.move == nil {
-		return []Action{Release{ev.Ref, r.toHome(now, at.owner, hash, false)}}
+		return []Action{Release{ev.Ref, r.toHome(now, at.owner, hash, opening)}}
 	}
 	// An answer may have come since Route gave its verdict.
-	if d := r.routeMoved(now, at, hash); d.Verdict != Ask {
+	if d := r.routeMoved(now, at, hash, opening); d.Verdict != Ask {
 		return []Action{Release{ev.Ref, d}}
 	}
 	q := r.asks.byFlow[ev.Flow]
 	switch {
-	case r.asks.waiting >= r.opts.MaxWaiting || q != nil && len(q.refs) >= maxWaitPerFlow:
+	case r.asks.waiting >= r.opts.MaxWaiting || q != nil && len(q.packets) >= maxWaitPerFlow:
 		return []Action{Release{ev.Ref, Decision{Verdict: Drop, Reason: ReasonWaitingFull}}}
 	case q == nil && len(r.asks.byFlow) >= r.opts.MaxAsks:
 		return []Action{Release{ev.Ref, Decision{Verdict: Drop, Reason: ReasonAsksFull}}}
 	}
 	r.asks.waiting++
+	p := waitingPacket{ref: ev.Ref, opening: opening}
 	if q != nil {
-		q.refs = append(q.refs, ev.Ref)
+		q.packets = append(q.packets, p)
 		return nil
 	}
-	q = &ask{flow: ev.Flow, hash: hash, refs: []Ref{ev.Ref}}
+	q = &ask{flow: ev.Flow, hash: hash, packets: []waitingPacket{p}}
 	r.asks.byFlow[ev.Flow] = q
 	r.asks.order = append(r.asks.order, q)
 	return r.start(now, q, at)
@@ -96,7 +103,7 @@
 	var out []Action
 	for _, a := range q.asked {
 		if !a.none {
-			out = append(out, Send{a.id, message.FlowAsk{ID: q.id, Service: a.svc.name, Flow: q.flow}})
+			out = append(out, q.sendTo(a))
 		}
 	}
 	q.sends++
@@ -104,6 +111,12 @@
 	return out
 }
 
+// sendTo never sets FlowAsk.Opening: an agent would record the balancer as the
+// tentative holder.
+func (q *ask) sendTo(a asked) Action {
+	return Send{a.id, message.FlowAsk{ID: q.id, Service: a.svc.name, Flow: q.flow}}
+}
+
 // formerHolders appends the members to ask: of each service that owned the
 // address within the move window the top ones by rank, and those that announced
 // the address. Where too many announced it, the top ones of the service stand
@@ -141,7 +154,9 @@
 	return dst
 }
 
-// answer handles an answer of a former holder.
+// answer handles an answer of a former holder. An answer that names another
+// holder may rest on a record of a flow that has ended: packets of an open flow
+// are sent by it, opening packets wait for the answer of the named holder.
 func (r *Router) answer(now time.Time, ev FlowAnswer) []Action {
 	q := r.asks.byID[ev.Msg.ID]
 	if q == nil || q.flow != ev.Msg.Flow {
@@ -164,15 +179,31 @@
 		}
 	}
 	r.hints.put(q.hash, m.hash, now)
-	return r.finish(q, r.forward(now, s, m))
+	d := r.forward(now, s, m)
+	if ev.Msg.Holder == ev.From {
+		return r.finish(q, d, d)
+	}
+	out := r.releaseOthers(q, d)
+	if len(q.packets) == 0 {
+		return append(out, r.finish(q, d, d)...)
+	}
+	q.asked[i].none = true
+	known := slices.ContainsFunc(q.asked, func(a asked) bool { return a.id == m.id })
+	if !known && s != at.owner && len(q.asked) < maxAsked {
+		named := asked{svc: s, id: m.id, hash: m.hash}
+		q.asked = append(q.asked, named)
+		q.sends, q.resend = 1, now.Add(r.opts.AskInterval)
+		out = append(out, q.sendTo(named))
+	}
+	return append(out, r.settle(now, q)...)
 }
 
 // settle ends a question when all members that are not gone answered that they
-// know no holder, or when nobody is left to ask. After another move it asks again.
+// do not hold the flow, or when nobody is left to ask. After another move it asks again.
 func (r *Router) settle(now time.Time, q *ask) []Action {
 	at := r.addrs[q.flow.ServiceAddr()]
 	if at.move == nil || !r.anyFormer(now, at) {
-		return r.finish(q, r.toHome(now, at.owner, q.hash, false))
+		return r.finishAtOwner(now, q, at)
 	}
 	for _, a := range q.asked {
 		if !a.none && r.current(a.svc).find(a.hash) != nil {
@@ -183,17 +214,56 @@
 		return r.start(now, q, at)
 	}
 	r.hints.put(q.hash, notFormer, now)
-	return r.finish(q, r.toHome(now, at.owner, q.hash, false))
+	return r.finishAtOwner(now, q, at)
+}
+
+func (r *Router) finishAtOwner(now time.Time, q *ask, at address) []Action {
+	return r.finish(q, r.toHome(now, at.owner, q.hash, true), r.toHome(now, at.owner, q.hash, false))
+}
+
+// finishUnanswered ends a question that is still open after the last send. New
+// connections must not wait for a dead target, so opening packets go to the
+// owner. The hint makes the packets that follow go there too, instead of being
+// dropped until the target is gone.
+func (r *Router) finishUnanswered(now time.Time, q *ask) []Action {
+	at := r.addrs[q.flow.ServiceAddr()]
+	opening := r.toHome(now, at.owner, q.hash, true)
+	var out []Action
+	for _, p := range q.packets {
+		if p.opening && opening.Verdict == Forward {
+			r.hints.put(q.hash, model.HashString(string(opening.To)), now)
+			out = append(out, Count{ReasonOpenedUnanswered})
+		}
+	}
+	return append(out, r.finish(q, opening, Decision{Verdict: Drop, Reason: ReasonAskTimeout})...)
 }
 
-// finish ends a question and the wait of its packets.
-func (r *Router) finish(q *ask, d Decision) []Action {
-	out := make([]Action, 0, len(q.refs))
-	for _, ref := range q.refs {
-		out = append(out, Release{ref, d})
+// releaseOthers ends the wait of the packets that are not opening ones.
+func (r *Router) releaseOthers(q *ask, d Decision) []Action {
+	var out []Action
+	for _, p := range q.packets {
+		if !p.opening {
+			out = append(out, Release{p.ref, d})
+		}
+	}
+	q.packets = slices.DeleteFunc(q.packets, func(p waitingPacket) bool { return !p.opening })
+	r.asks.waiting -= len(out)
+	return out
+}
+
+// finish ends a question and the wait of its packets: opening packets get one
+// decision, all others the other.
+func (r *Router) finish(q *ask, opening, other Decision) []Action {
+	out := make([]Action, 0, len(q.packets))
+	for _, p := range q.packets {
+		if p.opening {
+			out = append(out, Release{p.ref, opening})
+		} else {
+			out = append(out, Release{p.ref, other})
+		}
 	}
-	r.asks.waiting -= len(q.refs)
-	q.refs = nil
+	r.asks.waiting -= len(q.packets)
+	q.packets = nil
 	delete(r.asks.byFlow, q.flow)
 	delete(r.asks.byID, q.id)
 	r.asks.order = slices.DeleteFunc(r.asks.order, func(o *ask) bool { return o == q })
@@ -218,7 +288,7 @@
 			out = append(out, Count{ReasonAskRepeated})
 			out = append(out, r.send(now, q)...)
 		default:
-			out = append(out, r.finish(q, Decision{Verdict: Drop, Reason: ReasonAskTimeout})...)
+			out = append(out, r.finishUnanswered(now, q)...)
 		}
 	}
 	return out
--- a/internal/route/moves.go
+++ b/internal/route/moves.go
@@ -178,11 +178,16 @@
 	return s
 }
 
-// routeMoved decides about a packet, other than an opening one, on an address
-// that other services may hold flows on. Only what was learned after the move
-// counts: an older hint may be of a flow that has ended.
-func (r *Router) routeMoved(now time.Time, at address, hash uint64) Decision {
-	if h := r.hints.get(hash); h != nil && h.learned >= at.move.since.UnixNano() {
+// routeMoved decides about a packet on an address that other services may hold
+// flows on. Only what was learned after the move counts: an older hint may be of
+// a flow that has ended.
+//
+// An opening packet may be a copy of one that a former holder has answered, or
+// reuse the 5-tuple of a flow that has ended there. No hint tells these apart,
+// so each one is asked about, and the answer replaces the hint for the packets
+// that follow.
+func (r *Router) routeMoved(now time.Time, at address, hash uint64, opening bool) Decision {
+	if h := r.hints.get(hash); !opening && h != nil && h.learned >= at.move.since.UnixNano() {
 		age := now.UnixNano() - h.learned
 		fresh := age >= 0 && age <= int64(r.opts.Settle)
 		if h.holder == notFormer && fresh {
@@ -193,7 +198,7 @@
 		}
 	}
 	if !r.anyFormer(now, at) {
-		return r.toHome(now, at.owner, hash, false)
+		return r.toHome(now, at.owner, hash, opening)
 	}
 	return Decision{Verdict: Ask}
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -67,8 +67,12 @@
 	ReasonNoService Reason = "no_service"
 	// ReasonNoTarget: the service has no target that takes the packet.
 	ReasonNoTarget Reason = "no_target"
-	// ReasonAskTimeout: former holders did not answer.
+	// ReasonAskTimeout: former holders did not answer about a packet that is not
+	// an opening one.
 	ReasonAskTimeout Reason = "ask_timeout"
+	// ReasonOpenedUnanswered: an opening packet went to the owner of the address
+	// without the answer of every former holder.
+	ReasonOpenedUnanswered Reason = "opened_unanswered"
 	// ReasonAsksFull: too many flows are asked about.
 	ReasonAsksFull Reason = "asks_full"
 	// ReasonWaitingFull: too many packets wait, of this flow or in all.
@@ -138,10 +142,7 @@
 	// a later packet of one.
 	opening := p.Flow.Proto == model.TCP && p.Opening()
 	if at.move != nil {
-		if !opening {
-			return r.routeMoved(now, at, hash)
-		}
-		r.hints.forget(hash) // the new flow is the owner's, whoever held the last one
+		return r.routeMoved(now, at, hash, opening)
 	}
 	if at.owner == nil {
 		return Decision{Verdict: Drop, Reason: ReasonNoService}
@@ -156,6 +157,11 @@
 	return r.toHome(now, at.owner, hash, opening)
 }
 
+// Home returns the decision about a packet that opens a flow which nobody holds.
+func (r *Router) Home(now time.Time, f model.Flow) Decision {
+	return r.toHome(now, r.addrs[f.ServiceAddr()].owner, f.Hash(), true)
+}
+
 // toHome sends a packet to the flow's home. Without an active target, packets
 // of open flows still go to those that may hold them.
 func (r *Router) toHome(now time.Time, s *service, hash uint64, opening bool) Decision {
--- a/internal/route/step.go
+++ b/internal/route/step.go
@@ -16,8 +16,9 @@
 // Waiting hands over a packet for which Route gave the verdict Ask. Exactly one
 // Release follows for each Ref.
 type Waiting struct {
-	Ref  Ref
-	Flow model.Flow
+	Ref     Ref
+	Flow    model.Flow
+	Opening bool // as packet.Info.Opening reports
 }
 
 // FlowHint is the message of an agent about the holder of a flow. One without a
