settings: fabric_return_address for balancers

A balancer answers an opening packet of a service without targets with a reset, but the binary had no setting for the address that resets are sent to, so callers ran into their timeout.

--- a/cmd/bulrushshelf-balancer/main.go
+++ b/cmd/bulrushshelf-balancer/main.go
@@ -43,7 +43,7 @@
 			ID: s.NodeID, DC: s.DataCentre, Incarnation: model.Incarnation(boot.UnixMilli()),
 			PeerAddr: s.PeerAddr, AdminAddr: endpoints.AdminAddr(), Weight: 1,
 		},
-		Fabric: s.FabricAddr, Seeds: s.Seeds, Keys: daemon.Keys(s.Keys), Seed: seed, Paths: s.Paths,
+		Fabric: s.FabricAddr, Return: s.ReturnAddr, Seeds: s.Seeds, Keys: daemon.Keys(s.Keys), Seed: seed, Paths: s.Paths,
 		Store: store, Router: route.Options{HintCapacity: s.HintSlots}, Metrics: metrics, Logger: logger,
 	})
 	if err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 type Balancer struct {
 	Common
 	FabricAddr netip.AddrPort // UDP
+	ReturnAddr netip.AddrPort // UDP; invalid when the balancer sends no resets
 	Paths      int
 	StoreURL   string
 	HintSlots  int
--- a/internal/settings/spec.go
+++ b/internal/settings/spec.go
@@ -62,6 +62,8 @@
 func (b *Balancer) specs() []spec {
 	return b.Common.specs(
 		spec{Field{Name: "fabric_address", Type: addrType, Required: true, Doc: "UDP address at which packets from the fabric arrive."}, text, address(&b.FabricAddr)},
+		spec{Field{Name: "fabric_return_address", Type: addrType,
+			Doc: "UDP address that resets to callers are sent to, as in the agents' settings. When left out, callers of a service without targets run into their timeout."}, text, address(&b.ReturnAddr)},
 		spec{Field{Name: "paths", Type: "whole number", Range: "1 to 16", Default: "2",
 			Doc: "Sockets over which packets are forwarded. With 1 there is no other path when one goes silent."}, scalar, count(&b.Paths, 1, maxPaths)},
 		spec{Field{Name: "store_url", Type: "URL", Required: true, Doc: "Address of the platform's object store."}, text, httpURL(&b.StoreURL, false)},
