ctl: request sends an HTTP request through the balancers

Operators had no caller that reaches a service by the packet path. The command runs the user-space TCP stack as one caller, sends each packet to a random balancer, and receives at the agents' fabric_return_address. It sends once, and its exit code tells run, not run, no connection and unknown apart.

--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -52,7 +53,16 @@
 	Store     string        `long:"store" value-name:"URL" env:"BULRUSHSHELF_STORE" description:"address of the object store"`
 	KeyFile   string        `long:"key-file" value-name:"FILE" env:"BULRUSHSHELF_KEY_FILE" description:"file with the shared key, for calls to nodes"`
 	Balancers []string      `long:"balancer" value-name:"IP:port" env:"BULRUSHSHELF_BALANCERS" env-delim:"," description:"admin address of a balancer; may be repeated"`
-	Timeout   time.Duration `long:"timeout" default:"30s" description:"time for the calls to store and nodes, without --wait"`
+	Timeout   time.Duration `long:"timeout" default:"30s" description:"time for the calls to store and nodes or for a request, without --wait"`
+}
+
+// ipPort is an address as the value of a flag.
+type ipPort struct{ netip.AddrPort }
+
+// UnmarshalFlag parses the value of a flag.
+func (a *ipPort) UnmarshalFlag(s string) (err error) {
+	a.AddrPort, err = netip.ParseAddrPort(s)
+	return err
 }
 
 // app is one run of the command.
@@ -88,6 +98,9 @@
 		{"drain", "give a target no new work",
 			"Writes a decision file for the target. With --wait, asks its agent until all flows and requests have ended. remove of the file reverses it.\n\n" +
 				"Example:\n  bulrushshelf-ctl --store http://10.0.0.5:9400 --balancer 10.0.0.1:7300 --key-file key drain dk-east-a-dispatch-1 --wait", &drainCommand{app: a}},
+		{"request", "send an HTTP request through the balancers",
+			"Acts as one caller and the fabric: sends the request once, each packet to a random balancer, and prints the response. Exits with 1 when the request was not run, with 3 when no connection was opened, and with 4 when it may have run. --timeout bounds the whole request.\n\n" +
+				"Example:\n  bulrushshelf-ctl request --fabric 10.0.0.1:7000 --fabric 10.0.0.2:7000 --return 10.0.0.9:7001 http://10.80.0.1:80/", &requestCommand{app: a}},
 	}
 }
 
