node: answer State of a stopped balancer

Cause: State waited for the loop, which had ended, until its context was done. Change: it returns at the end of the loop, as its comment says. The fault tests also bound the flows that they open to find one at a certain agent.

--- a/internal/demo/fault_test.go
+++ b/internal/demo/fault_test.go
@@ -24,7 +24,10 @@
 	svc := b.Spec.Services[0]
 	feeds := b.feeds(svc, 12)
 	b.goOn(feeds)
-	b.StopBalancer(b.balancers[0], true)
+	crashed := b.balancers[0]
+	b.StopBalancer(crashed, true)
+	_, running := crashed.State(b.ctx)
+	b.is.True(!running)
 	b.goOn(feeds)
 	b.confirmNew(svc, svc.Addr, 20, "after")
 	b.ready() // until the crashed balancer is gone everywhere
@@ -101,12 +104,14 @@
 // keepAlive returns a client with an open idle connection to the agent.
 func (b *bed) keepAlive(svc ServiceSpec, a *AgentProc) *http.Client {
 	b.t.Helper()
-	for i := 0; ; i++ {
+	for i := range maxTries {
 		client := b.caller().Client(true)
 		if at := b.confirm(client, svc.Addr, fmt.Sprintf("open-%d", i)); at[0] == a {
 			return client
 		}
 	}
+	b.t.Fatalf("none of %d connections went to %s", maxTries, a.ID)
+	return nil
 }
 
 func ended(a *AgentProc) bool {
@@ -322,6 +327,7 @@
 	b.seen(svc, home.ID, model.StateLeaving)
 	var feeds []*feed
 	for homed := 0; homed < 4; {
+		b.is.True(len(feeds) < maxTries)
 		f := b.feed(svc, 20*time.Millisecond)
 		feeds = append(feeds, f)
 		if table.AppendHomes(nil, time.Now(), f.flow.Hash(), 1)[0] == home.ID {
--- a/internal/demo/faultbed_test.go
+++ b/internal/demo/faultbed_test.go
@@ -30,6 +30,9 @@
 	waitPoll  = 10 * time.Millisecond
 	// moreEvents shows that a feed goes on.
 	moreEvents = 5
+	// maxTries bounds the flows opened to find one at a certain agent; a third of
+	// them go there.
+	maxTries = 100
 )
 
 // bed is a small deployment under test: two services with three targets each.
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -65,7 +65,8 @@
 	waiting  map[route.Ref]waitingPacket
 	nextRef  route.Ref
 
-	calls chan func() // run by the loop
+	calls   chan func() // run by the loop
+	stopped chan struct{}
 }
 
 // waitingPacket is a packet whose flow the core is asking about.
@@ -95,7 +96,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	b := &Balancer{opt: opt, waiting: make(map[route.Ref]waitingPacket), events: make(chan balancer.Event, eventRing), calls: make(chan func())}
+	b := &Balancer{opt: opt, waiting: make(map[route.Ref]waitingPacket), events: make(chan balancer.Event, eventRing), calls: make(chan func()), stopped: make(chan struct{})}
 	if b.transport, err = newTransport(opt.Self.PeerAddr, opt.Paths, codec, opt.Metrics); err != nil {
 		return nil, err
 	}
@@ -134,6 +135,8 @@
 	}
 	select {
 	case b.calls <- copyState:
+	case <-b.stopped:
+		return state, false
 	case <-ctx.Done():
 		return state, false
 	}
@@ -213,6 +216,7 @@
 
 // loop owns the core.
 func (b *Balancer) loop(ctx context.Context, g *errgroup.Group) {
+	defer close(b.stopped)
 	tick := time.NewTicker(coreTick)
 	defer tick.Stop()
 	for {
