--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -84,7 +84,7 @@
 	a.B.Post(ctx, balancer.Pushed{File: message.File{Name: p.Name, Version: p.Version, Removed: p.Removed, Content: p.Content}})
 	for {
 		var rev uint64
-		if !a.B.calls.do(ctx, func() { _, rev = a.B.core.Snapshot() }) {
+		if !a.B.calls.do(ctx, a.B.stopped, func() { _, rev = a.B.core.Snapshot() }) {
 			return admin.PushFileResult{}, errStopped
 		}
 		if rev >= p.Version {
@@ -110,7 +110,7 @@
 		return admin.ExplainFlowResult{}, err
 	}
 	var out admin.ExplainFlowResult
-	ok := a.B.calls.do(ctx, func() {
+	ok := a.B.calls.do(ctx, a.B.stopped, func() {
 		snapshot, _ := a.B.core.Snapshot()
 		out.Service, _ = snapshot.Lookup(flow.ServiceAddr())
 		d := a.B.core.Route(time.Now(), &packet.Info{Flow: flow, ACK: true})
@@ -144,7 +144,7 @@
 		NodeID: self.ID, Role: "agent", DataCentre: self.DC, Service: self.Service, State: a.state(),
 		Incarnation: self.Incarnation, Uptime: time.Since(a.A.started), Load: a.A.Load(), Counters: counters(a.A.opt.Metrics),
 	}
-	ok := a.A.calls.do(ctx, func() {
+	ok := a.A.calls.do(ctx, nil, func() {
 		slice := a.A.core.Slice()
 		s.Settled, s.FileVersion = a.A.core.Settled(time.Now()), slice.FileRev
 		s.Balancers, s.Agents = len(slice.Balancers), len(slice.View.Members)
@@ -183,7 +183,7 @@
 // Members implements admin.Node.
 func (a AgentAdmin) Members(ctx context.Context, p admin.MembersParams) (admin.MembersResult, error) {
 	var out admin.MembersResult
-	ok := a.A.calls.do(ctx, func() {
+	ok := a.A.calls.do(ctx, nil, func() {
 		slice := a.A.core.Slice()
 		out = selected(append(append([]model.Member(nil), slice.Balancers...), slice.View.Members...), p)
 	})
@@ -201,7 +201,7 @@
 	}
 	self := a.A.Self()
 	out := admin.ExplainFlowResult{Service: self.Service}
-	ok := a.A.calls.do(ctx, func() {
+	ok := a.A.calls.do(ctx, nil, func() {
 		now, table := time.Now(), a.A.core.Table()
 		if homes := table.Homes(now, flow.Hash(), 1); len(homes) > 0 {
 			out.Home = homes[0]
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -66,6 +66,7 @@
 	nextRef  route.Ref
 
 	calls   calls
+	stopped chan struct{} // closed at the end of the loop
 	started time.Time
 }
 
@@ -96,7 +97,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	b := &Balancer{opt: opt, waiting: make(map[route.Ref]waitingPacket), events: make(chan balancer.Event, eventRing), calls: make(calls), started: time.Now()}
+	b := &Balancer{opt: opt, waiting: make(map[route.Ref]waitingPacket), events: make(chan balancer.Event, eventRing), calls: make(calls), stopped: make(chan struct{}), started: time.Now()}
 	if b.transport, err = newTransport(opt.Self.PeerAddr, opt.Paths, codec, opt.Metrics); err != nil {
 		return nil, err
 	}
@@ -125,7 +126,7 @@
 
 // State returns what the core knows. ok is false when the balancer has stopped.
 func (b *Balancer) State(ctx context.Context) (state BalancerState, ok bool) {
-	ok = b.calls.do(ctx, func() {
+	ok = b.calls.do(ctx, b.stopped, func() {
 		snapshot, rev := b.core.Snapshot()
 		state = BalancerState{
 			Self: b.core.Self(), Serving: b.core.Serving(), Rev: rev, Snapshot: snapshot, Members: b.core.Members(),
@@ -202,6 +203,7 @@
 
 // loop owns the core.
 func (b *Balancer) loop(ctx context.Context, g *errgroup.Group) {
+	defer close(b.stopped)
 	tick := time.NewTicker(coreTick)
 	defer tick.Stop()
 	for {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -6,11 +6,13 @@
 type calls chan func()
 
 // do runs f on the owner's goroutine. It returns false, and f may not have run,
-// when ctx ended first.
-func (c calls) do(ctx context.Context, f func()) bool {
+// when ctx ended first or stopped was closed.
+func (c calls) do(ctx context.Context, stopped <-chan struct{}, f func()) bool {
 	done := make(chan struct{})
 	select {
 	case c <- func() { defer close(done); f() }:
+	case <-stopped:
+		return false
 	case <-ctx.Done():
 		return false
 	}
