agent: report a drain by decision file only when a file drains

An agent stopped by SIGTERM logged "drain by decision file": its own leaving state came back to it in the slice and was taken for a decision. The slice's state is now ignored once the agent leaves by itself. The new test fails without the change; the tests of internal/demo pass with it.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -241,7 +241,10 @@
 	c.viewed = true
 	c.flowStep(flows.ViewChanged{View: s.View})
 	c.out = append(c.out, ViewChanged{View: s.View})
-	if self, ok := c.members[c.announcer.Self().ID]; ok {
+	// An agent that leaves by itself is leaving in its slice too, whatever the
+	// decision files say.
+	own := c.announcer.Self()
+	if self, ok := c.members[own.ID]; ok && own.State < model.StateLeaving {
 		if draining := self.State == model.StateLeaving; draining != c.draining {
 			c.draining = draining
 			c.out = append(c.out, Draining{On: draining})
