--- a/cmd/bulrushshelf-store/main.go
+++ b/cmd/bulrushshelf-store/main.go
@@ -71,5 +71,6 @@
 		return trace.Wrap(err)
 	}
 	<-done
+	log.Info("stopped", "cause", context.Cause(ctx))
 	return nil
 }
