--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -94,6 +94,7 @@
 	stopping atomic.Bool
 	view     atomic.Pointer[model.ServiceView]
 	load     atomic.Pointer[model.Load]
+	running  atomic.Int64
 
 	events   *ring.Ring[requestEvent]
 	incoming *ring.Ring[peerMessage]
@@ -260,6 +261,10 @@
 	}
 }
 
+// Running returns the number of requests that run at the target, feeds left out.
+// Load differs: there, slots that must not be used count as busy.
+func (f *Front) Running() int { return int(f.running.Load()) }
+
 // Load returns the agent's own count of busy slots and waiting requests.
 func (f *Front) Load() model.Load { return *f.load.Load() }
 
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -41,6 +41,7 @@
 		timer.Reset(f.untilTick())
 		load := f.core.Load()
 		f.load.Store(&load)
+		f.running.Store(int64(f.core.Busy()))
 	}
 }
 
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -356,6 +356,28 @@
 	t.Logf("marked after %v, active %v after contact returned", took, back)
 }
 
+// Guards against agents that nobody observes, or that are suspected for good,
+// because their data centre has lost its only balancer.
+func TestFaultDataCentreWithoutBalancer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(11, 3, 9)
+	f.settle(t)
+	is.Equal(f.balancers[2].dc, model.DataCentre("dc-c"))
+	f.balancers[2].down = true
+	took, err := f.until(30*time.Second, func() bool { return f.everywhere(f.balancers[2].id, model.StateGone, "dc-c") })
+	is.NoErr(err)
+	is.NoErr(f.run(30*time.Second, nil))
+	for _, a := range f.agents {
+		is.True(f.everywhere(a.id, model.StateActive, "dc-c"))
+	}
+	crashed := f.agents[2]
+	is.Equal(crashed.dc, model.DataCentre("dc-c"))
+	crashed.down = true
+	removed, err := f.until(30*time.Second, func() bool { return f.everywhere(crashed.id, model.StateGone, "dc-c") })
+	is.NoErr(err)
+	t.Logf("balancer gone after %v, crashed agent after %v", took, removed)
+}
+
 // Guards against members suspected because one of their observers hears nothing.
 func TestFaultDeafObserver(t *testing.T) {
 	is := is.New(t)
--- a/internal/membership/observer.go
+++ b/internal/membership/observer.go
@@ -197,7 +197,7 @@
 		o.services.memberChanged(m)
 		o.dirtyService(m.Service)
 	}
-	if m.DC == o.beat.self.DC && (!o.regroup || m.State == model.StateGone) {
+	if o.observes(m.ID, m.DC) && (!o.regroup || m.State == model.StateGone) {
 		o.rewatch(m)
 	}
 	if w := o.byID[m.ID]; w != nil {
@@ -297,26 +297,24 @@
 func (o *Observer) rebuildPeers() {
 	var peers []gossip.Peer
 	var dcs []model.DataCentre
-	var own []model.Member
 	for e := range o.members.All() {
 		r := &e.Value
+		if r.kind != model.KindBalancer || r.state >= model.StateSuspect {
+			continue
+		}
+		m := unpack(e)
+		peers = append(peers, gossip.NewPeer(m.ID, m.DC, m.PeerAddr))
+		// Contact is kept with relays, so with data centres that have a balancer.
 		if i, ok := slices.BinarySearch(dcs, r.dc); !ok {
 			dcs = slices.Insert(dcs, i, r.dc)
 		}
-		if r.dc == o.beat.self.DC {
-			own = append(own, unpack(e))
-		}
-		if r.kind == model.KindBalancer && r.state < model.StateSuspect {
-			m := unpack(e)
-			peers = append(peers, gossip.NewPeer(m.ID, m.DC, m.PeerAddr))
-		}
 	}
 	o.peers.Set(peers)
 	o.contacts.setDCs(slices.DeleteFunc(dcs, func(dc model.DataCentre) bool { return dc == o.beat.self.DC }), o.now)
-	o.beat.observers(o.now, o.peers.Local())
-	for _, m := range own {
-		o.rewatch(m)
-	}
+	self := &o.beat.self
+	others := slices.DeleteFunc(slices.Clone(o.observerCandidates(self.ID, self.DC)), func(p gossip.Peer) bool { return p.ID == self.ID })
+	o.beat.observers(o.now, others)
+	o.rewatchAll()
 	o.dirtyAll()
 	if o.joined {
 		o.out = append(o.out, PeersChanged{Peers: o.peers.All()})
--- a/internal/membership/slices.go
+++ b/internal/membership/slices.go
@@ -171,7 +171,7 @@
 	if o.peers.Count() <= allBalancers {
 		return o.peers.All()
 	}
-	cands := o.peers.In(agent.DC)
+	cands := o.observerCandidates(agent.ID, agent.DC)
 	var out []gossip.Peer
 	for _, i := range gossip.Top(nil, observeKey(agent.ID), cands, sliceBalancers) {
 		out = append(out, cands[i])
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -35,12 +35,46 @@
 	at        time.Time
 }
 
-// rewatch starts or stops the observation of a member of the own data centre.
+// observerCandidates returns the balancers that the observers of a member are
+// chosen from: the others of its data centre, or all where it has no other.
+func (o *Observer) observerCandidates(id model.NodeID, dc model.DataCentre) []gossip.Peer {
+	local := o.peers.In(dc)
+	if len(local) == 0 || len(local) == 1 && local[0].ID == id {
+		return o.peers.All()
+	}
+	return local
+}
+
+// observes reports whether this node may be an observer of a member.
+func (o *Observer) observes(id model.NodeID, dc model.DataCentre) bool {
+	return dc == o.beat.self.DC || len(o.observerCandidates(id, dc)) > len(o.peers.In(dc))
+}
+
+// rewatchAll brings all observations in line with the live balancers.
+func (o *Observer) rewatchAll() {
+	var candidates []model.Member
+	for e := range o.members.All() {
+		if o.observes(model.NodeID(e.Key), e.Value.dc) {
+			candidates = append(candidates, unpack(e))
+		}
+	}
+	for _, w := range slices.Clone(o.watch) {
+		if !o.observes(w.id, w.peer.DC) {
+			o.watch = slices.DeleteFunc(o.watch, func(other *watched) bool { return other == w })
+			delete(o.byID, w.id)
+		}
+	}
+	for _, m := range candidates {
+		o.rewatch(m)
+	}
+}
+
+// rewatch starts or stops the observation of a member.
 func (o *Observer) rewatch(m model.Member) {
 	if m.ID == o.beat.self.ID {
 		return
 	}
-	cands := o.peers.In(m.DC)
+	cands := o.observerCandidates(m.ID, m.DC)
 	var others []gossip.Peer
 	observes := false
 	left := observerNum
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -172,7 +172,7 @@
 		a.A.Leave()
 	}
 	load := a.A.Load()
-	return admin.DrainResult{State: a.state(), Flows: load.Flows, Busy: load.Busy, Queued: load.Queued}, nil
+	return admin.DrainResult{State: a.state(), Flows: load.Flows, Busy: a.A.front.Running(), Queued: load.Queued}, nil
 }
 
 // PushFile implements admin.Node; files go to balancers.
