--- a/internal/docgen/docgen_test.go
+++ b/internal/docgen/docgen_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -27,3 +28,23 @@
 		t.Errorf("%s is out of date; run go test ./internal/docgen -update", path)
 	}
 }
+
+// Guards against a counter reason that the operators' page does not explain.
+func TestOperationsPageNamesEveryReason(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	reasons, err := Reasons("..")
+	is.NoErr(err)
+	is.True(len(reasons) > 60) // the search still finds them
+	for _, r := range reasons {
+		if !strings.Contains(string(page), "`"+r+"`") {
+			t.Errorf("docs/OPERATIONS.md does not explain the reason %q", r)
+		}
+	}
+}
+
+// Guards against capacity figures that no longer follow from their slopes.
+func TestGoldenCapacityPageMatchesSlopes(t *testing.T) {
+	compare(t, "../../docs/CAPACITY.md", Capacity())
+}
