front: send callers away from a target that a decision file drains

The check of Connection: close in TestFaultRequestAtLeavingAgent could not fail, because the test's client asked for it itself. Change: the front follows its own state in the view, both ways; the test client keeps connections alive; ctl status no longer prints a count of files that agents do not have. Conclusion: a drain by file empties a target, and its reversal is complete.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -48,7 +48,7 @@
 	Incarnation model.Incarnation `json:"incarnation"`
 	Uptime      time.Duration     `json:"uptime_ns"`
 	Settled     bool              `json:"settled"`      // the view has not changed lately
-	FileVersion uint64            `json:"file_version"` // newest store version of a decision file
+	FileVersion uint64            `json:"file_version"` // newest store version of a decision file; of an agent, of one that changed its slice
 	Files       int               `json:"files"`
 	Findings    []string          `json:"findings,omitempty"` // faults of the decision files
 	Balancers   int               `json:"balancers"`          // active members known
--- a/internal/ctl/nodes.go
+++ b/internal/ctl/nodes.go
@@ -99,8 +99,8 @@
 }
 
 func (a *app) printStatus(s admin.Status) {
-	a.printf("%s %s in %s: %s, up %s, file version %d, %d files, %d balancers, %d agents\n",
-		s.Role, s.NodeID, s.DataCentre, s.State, s.Uptime.Round(time.Second), s.FileVersion, s.Files, s.Balancers, s.Agents)
+	a.printf("%s %s in %s: %s, up %s, file version %d, %d balancers, %d agents\n",
+		s.Role, s.NodeID, s.DataCentre, s.State, s.Uptime.Round(time.Second), s.FileVersion, s.Balancers, s.Agents)
 	if s.Service != "" {
 		a.printf("  service %s: %d flows, %d busy, %d queued\n", s.Service, s.Load.Flows, s.Load.Busy, s.Load.Queued)
 	}
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -161,7 +161,7 @@
 func (f *Front) passOn(req *request, resp *http.Response, stream bool) bool {
 	w := req.out
 	copyEndToEnd(w.Header(), resp.Header)
-	if f.leaving.Load() {
+	if f.closing() {
 		w.Header().Set("Connection", "close")
 	}
 	for name := range resp.Trailer {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,6 +92,7 @@
 	nextID   atomic.Uint64
 	inFlight atomic.Int64
 	leaving  atomic.Bool
+	drained  atomic.Bool // by a decision file
 	stopping atomic.Bool
 	view     atomic.Pointer[model.ServiceView]
 	load     atomic.Pointer[model.Load]
@@ -229,9 +231,26 @@
 // SetView replaces the view of the service.
 func (f *Front) SetView(v model.ServiceView) {
 	f.view.Store(&v)
+	i := slices.IndexFunc(v.Members, func(m model.Member) bool { return m.ID == f.o.Self })
+	f.setDrained(i >= 0 && v.Members[i].State == model.StateLeaving)
 	f.post(admission.ViewChanged{View: v})
 }
 
+// setDrained follows a drain by a decision file, which can be taken back.
+func (f *Front) setDrained(on bool) {
+	if f.drained.Swap(on) == on || f.leaving.Load() {
+		return
+	}
+	if on {
+		f.idle.leave(f.o.Now())
+	} else {
+		f.idle.stay()
+	}
+}
+
+// closing reports whether callers should open new connections elsewhere.
+func (f *Front) closing() bool { return f.leaving.Load() || f.drained.Load() }
+
 // Leave stops the start of new requests here; they move to other agents. Idle
 // connections of callers are closed after a while.
 func (f *Front) Leave() {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -129,7 +130,11 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	// A new transport sends nothing twice, and the server decides whether the
+	// connection stays open.
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Do(r)
 	is.New(t).NoErr(err)
 	defer resp.Body.Close()
 	got, err := io.ReadAll(resp.Body)
@@ -252,6 +257,42 @@
 	eventually(t, "idle agents", func() bool { return c.all[0].Idle() && c.all[1].Idle() && c.all[1].Load().Busy == 0 })
 }
 
+// Guards against a target that a decision file drains and that still runs
+// requests or keeps its callers, and against a drain that cannot be taken back.
+func TestFaultDrainByDecisionFileAndBack(t *testing.T) {
+	is := is.New(t)
+	var own, other atomic.Int64
+	counting := func(n *atomic.Int64) *url.URL {
+		return handlerTarget(t, func(w http.ResponseWriter, r *http.Request) { n.Add(1); fmt.Fprint(w, "done") })
+	}
+	c := newCluster(t, counting(&own), counting(&other))
+	view := *c.all[0].view.Load()
+	drained := view
+	drained.Members = slices.Clone(view.Members)
+	drained.Members[0].State = model.StateLeaving
+	for range 2 {
+		ran := own.Load()
+		for _, f := range c.all {
+			f.SetView(drained)
+		}
+		eventually(t, "the drain", func() bool { return c.all[0].Load().Busy == 1 })
+		for range 3 {
+			resp, body := do(t, "POST", c.urls[0]+"/confirm", "x")
+			is.Equal(body, "done")
+			is.True(resp.Close)
+		}
+		is.Equal(own.Load(), ran)
+		for _, f := range c.all {
+			f.SetView(view)
+		}
+		eventually(t, "the reversal", func() bool { return c.all[0].Load().Busy == 0 })
+		resp, body := do(t, "POST", c.urls[0]+"/confirm", "x")
+		is.Equal(body, "done")
+		is.True(!resp.Close)
+		is.Equal(own.Load(), ran+1)
+	}
+}
+
 // Guards against feeds that are held back, cut by the deadline or by a
 // graceful shutdown, and against a feed that blocks the only slot.
 func TestHistoryFeedOutlivesDeadlineAndShutdown(t *testing.T) {
--- a/internal/front/idle.go
+++ b/internal/front/idle.go
@@ -39,6 +39,9 @@
 	c.left = now
 }
 
+// stay ends the closing of idle connections.
+func (c *idleConns) stay() { c.leave(time.Time{}) }
+
 // closeOld closes the connections that have been idle for leaveIdle since the
 // start of the leave.
 func (c *idleConns) closeOld(now time.Time) {
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -56,7 +56,7 @@
 func (f *Front) serveRequest(w http.ResponseWriter, r *http.Request, arrive admission.Arrive) {
 	n := f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	if f.leaving.Load() {
+	if f.closing() {
 		w.Header().Set("Connection", "close")
 	}
 	switch {
