admission: ask peers again before a leaving agent refuses a request

Ruled out: the drain by view, since the agent had left by itself. Change: a leaving agent keeps such a request for up to 1.5 s and asks again. Conclusion: a planned stop no longer refuses on one late reply.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -446,6 +446,8 @@
 	for _, r := range c.queue {
 		why := Reason(0)
 		switch {
+		case c.leaving && len(c.peers) > 0 && c.now.Sub(r.arrived) < leaveGrace:
+			// A reply was lost or late, or the peers are full; they are asked again.
 		case r.mustMove == MoveLeaving || r.mustMove != 0 && c.leaving:
 			why = ReasonLeaving
 		case r.mustMove == MoveUnreachable:
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,6 +151,48 @@
 	is.Equal(got[0].(Refuse).Outcome, message.OutcomeNotRun)
 }
 
+// Guards against a refusal at a leaving agent because one reply of its only peer
+// was lost or late, and against a wait without end.
+func TestFaultReserveReplyLostAtLeavingAgent(t *testing.T) {
+	for _, replies := range []bool{true, false} {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		c := New(Options{Self: "a", Slots: 1})
+		c.Step(now, ViewChanged{View: model.ServiceView{Members: []model.Member{
+			{ID: "a", Kind: model.KindAgent, State: model.StateLeaving, Slots: 1},
+			{ID: "b", Kind: model.KindAgent, State: model.StateActive, Slots: 1},
+		}}})
+		c.Step(now, Leave{})
+		asks, moved, refused := 0, 0, 0
+		act := func(actions []Action) {
+			for _, a := range slices.Clone(actions) {
+				switch a := a.(type) {
+				case SendReserve:
+					if asks++; asks == 2 && replies {
+						for _, a := range c.Step(now, ReserveReply{From: "b", ID: a.Msg.ID, Granted: true}) {
+							if m, ok := a.(MoveTo); ok && m.ID == 1 {
+								moved++
+							}
+						}
+					}
+				case Refuse:
+					refused++
+				}
+			}
+		}
+		act(c.Step(now, Arrive{ID: 1, Deadline: now.Add(10 * time.Second), FirstSend: true}))
+		for range 100 { // 2 s
+			now = now.Add(20 * time.Millisecond)
+			act(c.Step(now, Tick{}))
+		}
+		if replies {
+			is.Equal([]int{asks, moved, refused}, []int{2, 1, 0})
+		} else {
+			is.Equal([]int{moved, refused}, []int{0, 1})
+		}
+	}
+}
+
 // Guards against a cold target that gets all its slots' work at once, and
 // against a ramp that never ends.
 func TestFaultColdStart(t *testing.T) {
