--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"strings"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
