Give the store's API its own package, and share set-up and ranking

Cause: the store client took its types from the stand-in; the two mains repeated their set-up; packages hrw and gossip had the same insertion twice.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,12 +11,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/admin"
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/settings"
 	"github.com/bulrushshelf/bulrushshelf/internal/telemetry"
 )
@@ -73,6 +75,34 @@
 	return ExitOK
 }
 
+// Process is what a long-running binary is set up with.
+type Process struct {
+	Boot      time.Time
+	Logger    *log.Logger
+	Metrics   *telemetry.Metrics
+	Endpoints *Endpoints
+}
+
+// Setup opens the log on standard error, the metrics and the admin address.
+func Setup(binary settings.Binary, common settings.Common) (*Process, error) {
+	p := &Process{Boot: time.Now()}
+	var err error
+	if p.Logger, err = telemetry.NewLogger(os.Stderr, common.LogLevel, string(binary), string(common.NodeID)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if p.Metrics, err = telemetry.NewMetrics(string(binary)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.Endpoints, err = Listen(common.AdminAddr, common.MetricsAddr)
+	return p, trace.Wrap(err)
+}
+
+// Seed returns a seed for the random choices of this life of the process.
+func (p *Process) Seed() uint64 { return model.Mix(uint64(p.Boot.UnixNano())) }
+
+// Incarnation returns the incarnation of this life of the process.
+func (p *Process) Incarnation() model.Incarnation { return model.Incarnation(p.Boot.UnixMilli()) }
+
 // Endpoints are the listeners that operators use.
 type Endpoints struct {
 	admin   net.Listener
@@ -101,14 +131,13 @@
 }
 
 // Supervise runs serve, with the endpoints beside it, until it returns.
-func (e *Endpoints) Supervise(n admin.Node, keys []settings.Secret, m *telemetry.Metrics, logger *log.Logger,
-	serve func(ctx, kill context.Context) error) error {
+func (p *Process) Supervise(n admin.Node, keys []settings.Secret, serve func(ctx, kill context.Context) error) error {
 	ctx, kill, release := Context()
 	defer release()
 	running, stop := context.WithCancel(kill)
 	defer stop()
 	g, gctx := errgroup.WithContext(running)
-	e.Serve(gctx, g, n, keys, m)
+	p.Endpoints.Serve(gctx, g, n, keys, p.Metrics)
 	g.Go(func() error {
 		defer stop()
 		return serve(ctx, gctx)
@@ -117,7 +146,7 @@
 	if errors.Is(err, context.Canceled) {
 		err = nil
 	}
-	logger.Info("stopped", "cause", context.Cause(ctx), "err", err)
+	p.Logger.Info("stopped", "cause", context.Cause(ctx), "err", err)
 	return err
 }
 
--- a/internal/gossip/peers.go
+++ b/internal/gossip/peers.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/strategy/hrw"
 )
 
 // RelayCount is the number of balancers of a data centre that exchange updates
@@ -33,23 +34,7 @@
 // best first. The order is that of package hrw at equal weights, without its
 // logarithm: a change of the balancers re-ranks every member of the data centre.
 func Top(dst []int, key uint64, peers []Peer, n int) []int {
-	start := len(dst)
-	score := func(i int) uint64 { return model.Mix(key ^ peers[i].hash) }
-	for i := range peers {
-		s, pos := score(i), len(dst)
-		for pos > start && score(dst[pos-1]) < s {
-			pos--
-		}
-		if pos-start >= n {
-			continue
-		}
-		if len(dst)-start < n {
-			dst = append(dst, 0)
-		}
-		copy(dst[pos+1:], dst[pos:len(dst)-1])
-		dst[pos] = i
-	}
-	return dst
+	return hrw.Top(dst, len(peers), n, func(i int) uint64 { return model.Mix(key ^ peers[i].hash) })
 }
 
 // Peers is one node's view of the live balancers. The node itself is among them
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"github.com/bulrushshelf/bulrushshelf/internal/storeapi"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,7 +14,7 @@
 
 // maxBody leaves room for the base64 form of a content that is just too large,
 // so that it gets 413 with a clear message.
-const maxBody = 2 * MaxContent
+const maxBody = 2 * storeapi.MaxContent
 
 // ServeHTTP answers one call.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -23,23 +24,23 @@
 	case r.URL.Path == FaultsPath && r.Method == http.MethodPut:
 		var f Faults
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&f); err != nil {
-			fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: err.Error()})
+			fail(w, http.StatusBadRequest, storeapi.Failure{Code: storeapi.CodeInvalid, Message: err.Error()})
 			return
 		}
 		s.SetFaults(f)
 		answer(w, http.StatusOK, f)
-	case r.URL.Path == WatchPath && r.Method == http.MethodGet:
+	case r.URL.Path == storeapi.WatchPath && r.Method == http.MethodGet:
 		if s.admit(w, r, &s.counts.Watches, s.reads) {
 			s.serveWatch(w, r)
 		}
-	case r.URL.Path == ObjectsPath && r.Method == http.MethodGet:
+	case r.URL.Path == storeapi.ObjectsPath && r.Method == http.MethodGet:
 		if s.admit(w, r, &s.counts.Reads, s.reads) {
 			s.serveList(w, r)
 		}
-	case strings.HasPrefix(r.URL.Path, ObjectsPath+"/"):
-		s.serveObject(w, r, strings.TrimPrefix(r.URL.Path, ObjectsPath+"/"))
+	case strings.HasPrefix(r.URL.Path, storeapi.ObjectsPath+"/"):
+		s.serveObject(w, r, strings.TrimPrefix(r.URL.Path, storeapi.ObjectsPath+"/"))
 	default:
-		fail(w, http.StatusNotFound, Failure{Code: CodeInvalid, Message: "no such call: " + r.Method + " " + r.URL.Path})
+		fail(w, http.StatusNotFound, storeapi.Failure{Code: storeapi.CodeInvalid, Message: "no such call: " + r.Method + " " + r.URL.Path})
 	}
 }
 
@@ -58,7 +59,7 @@
 	case http.MethodPost, http.MethodPut, http.MethodDelete:
 		s.serveWrite(w, r, path)
 	default:
-		fail(w, http.StatusMethodNotAllowed, Failure{Code: CodeInvalid, Message: "method " + r.Method + " is not supported"})
+		fail(w, http.StatusMethodNotAllowed, storeapi.Failure{Code: storeapi.CodeInvalid, Message: "method " + r.Method + " is not supported"})
 	}
 }
 
@@ -68,11 +69,11 @@
 		return
 	}
 	if path == "" || len(path) > 1024 {
-		fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: "the path must have 1 to 1024 bytes"})
+		fail(w, http.StatusBadRequest, storeapi.Failure{Code: storeapi.CodeInvalid, Message: "the path must have 1 to 1024 bytes"})
 		return
 	}
-	if len(content) > MaxContent {
-		fail(w, http.StatusRequestEntityTooLarge, Failure{Code: CodeTooLarge, Message: "the content is larger than 1 MB"})
+	if len(content) > storeapi.MaxContent {
+		fail(w, http.StatusRequestEntityTooLarge, storeapi.Failure{Code: storeapi.CodeTooLarge, Message: "the content is larger than 1 MB"})
 		return
 	}
 	var version uint64
@@ -84,7 +85,7 @@
 	} else {
 		expected, parseErr := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
 		if parseErr != nil {
-			fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: "the parameter version must be a number"})
+			fail(w, http.StatusBadRequest, storeapi.Failure{Code: storeapi.CodeInvalid, Message: "the parameter version must be a number"})
 			return
 		}
 		version, err = s.replace(path, expected, content, r.Method == http.MethodDelete)
@@ -96,22 +97,22 @@
 		failWith(w, err)
 		return
 	}
-	answer(w, status, Object{Path: path, Version: version})
+	answer(w, status, storeapi.Object{Path: path, Version: version})
 }
 
 func readContent(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	if r.Method == http.MethodDelete {
 		return nil, true
 	}
-	var body WriteBody
+	var body storeapi.WriteBody
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&body)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		fail(w, http.StatusRequestEntityTooLarge, Failure{Code: CodeTooLarge, Message: "the content is larger than 1 MB"})
+		fail(w, http.StatusRequestEntityTooLarge, storeapi.Failure{Code: storeapi.CodeTooLarge, Message: "the content is larger than 1 MB"})
 		return nil, false
 	case err != nil:
-		fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: "body: " + err.Error()})
+		fail(w, http.StatusBadRequest, storeapi.Failure{Code: storeapi.CodeInvalid, Message: "body: " + err.Error()})
 		return nil, false
 	}
 	return body.Content, true
@@ -120,8 +121,8 @@
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	limit, err := strconv.Atoi(q.Get("limit"))
-	if err != nil || limit < 1 || limit > MaxPage {
-		limit = MaxPage
+	if err != nil || limit < 1 || limit > storeapi.MaxPage {
+		limit = storeapi.MaxPage
 	}
 	answer(w, http.StatusOK, s.list(q.Get("prefix"), q.Get("after"), limit))
 }
@@ -131,18 +132,18 @@
 	after, errAfter := strconv.ParseUint(q.Get("after"), 10, 64)
 	wait, errWait := strconv.Atoi(q.Get("wait_ms"))
 	if errAfter != nil || errWait != nil || wait < 0 {
-		fail(w, http.StatusBadRequest, Failure{Code: CodeInvalid, Message: "the parameters after and wait_ms must be numbers"})
+		fail(w, http.StatusBadRequest, storeapi.Failure{Code: storeapi.CodeInvalid, Message: "the parameters after and wait_ms must be numbers"})
 		return
 	}
 	if s.takeFault(func(f *Faults) *int { return &f.CutWatches }) {
 		panic(http.ErrAbortHandler)
 	}
-	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, MaxWait))
+	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, storeapi.MaxWait))
 	defer timer.Stop()
 	for {
 		out, changed, cut, covered := s.since(q.Get("prefix"), after)
 		if !covered {
-			fail(w, http.StatusGone, Failure{Code: CodeTooOld, Message: "changes after this version are not covered"})
+			fail(w, http.StatusGone, storeapi.Failure{Code: storeapi.CodeTooOld, Message: "changes after this version are not covered"})
 			return
 		}
 		if len(out.Changes) > 0 {
@@ -183,15 +184,15 @@
 			return false
 		}
 	} else {
-		time.Sleep(min(slow, WriteBound)) // a caller that left does not stop its write
+		time.Sleep(min(slow, storeapi.WriteBound)) // a caller that left does not stop its write
 	}
 	switch {
-	case f.Unavailable, slow > WriteBound && r.Method != http.MethodGet:
-		fail(w, http.StatusServiceUnavailable, Failure{Code: CodeUnavailable, Message: "the store is not available"})
+	case f.Unavailable, slow > storeapi.WriteBound && r.Method != http.MethodGet:
+		fail(w, http.StatusServiceUnavailable, storeapi.Failure{Code: storeapi.CodeUnavailable, Message: "the store is not available"})
 		return false
 	case !allowed:
 		w.Header().Set("Retry-After", "1")
-		fail(w, http.StatusTooManyRequests, Failure{Code: CodeRateLimited, Message: "too many calls"})
+		fail(w, http.StatusTooManyRequests, storeapi.Failure{Code: storeapi.CodeRateLimited, Message: "too many calls"})
 		return false
 	}
 	return true
@@ -212,13 +213,13 @@
 func failWith(w http.ResponseWriter, err error) {
 	var conflict conflictError
 	if errors.As(err, &conflict) {
-		fail(w, http.StatusConflict, Failure{Code: CodeConflict, Message: err.Error(), Version: conflict.version})
+		fail(w, http.StatusConflict, storeapi.Failure{Code: storeapi.CodeConflict, Message: err.Error(), Version: conflict.version})
 		return
 	}
-	fail(w, http.StatusNotFound, Failure{Code: CodeNotFound, Message: err.Error()})
+	fail(w, http.StatusNotFound, storeapi.Failure{Code: storeapi.CodeNotFound, Message: err.Error()})
 }
 
-func fail(w http.ResponseWriter, status int, f Failure) { answer(w, status, f) }
+func fail(w http.ResponseWriter, status int, f storeapi.Failure) { answer(w, status, f) }
 
 func answer(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"github.com/bulrushshelf/bulrushshelf/internal/storeapi"
 	"slices"
 	"strings"
 	"sync"
@@ -25,11 +26,11 @@
 	retain        int
 
 	mu      sync.Mutex
-	objects map[string]Object
+	objects map[string]storeapi.Object
 	version uint64
-	history []Change      // the newest changes, in order
-	floor   uint64        // watches after a version below this one are refused
-	changed chan struct{} // closed at the next change
+	history []storeapi.Change // the newest changes, in order
+	floor   uint64            // watches after a version below this one are refused
+	changed chan struct{}     // closed at the next change
 	faults  Faults
 	cut     chan struct{} // closed to cut the waiting watches
 	counts  Counts
@@ -54,7 +55,7 @@
 		reads:   rate.NewLimiter(rate.Limit(o.ReadsPerSecond), max(1, int(o.ReadsPerSecond))),
 		writes:  rate.NewLimiter(rate.Limit(o.WritesPerSecond), max(1, int(o.WritesPerSecond))),
 		retain:  o.Retain,
-		objects: make(map[string]Object),
+		objects: make(map[string]storeapi.Object),
 		changed: make(chan struct{}),
 		cut:     make(chan struct{}),
 	}
@@ -86,17 +87,17 @@
 
 func (conflictError) Error() string { return "the object has another version" }
 
-func (s *Store) get(path string) (Object, error) {
+func (s *Store) get(path string) (storeapi.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[path]
 	if !ok {
-		return Object{}, errNotFound
+		return storeapi.Object{}, errNotFound
 	}
 	return o, nil
 }
 
-func (s *Store) list(prefix, after string, limit int) Page {
+func (s *Store) list(prefix, after string, limit int) storeapi.Page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var paths []string
@@ -106,7 +107,7 @@
 		}
 	}
 	slices.Sort(paths)
-	page := Page{Revision: s.version, Objects: []Object{}}
+	page := storeapi.Page{Revision: s.version, Objects: []storeapi.Object{}}
 	size := 0
 	for _, p := range paths {
 		o := s.objects[p]
@@ -126,7 +127,7 @@
 	if o, ok := s.objects[path]; ok {
 		return 0, conflictError{o.Version}
 	}
-	return s.record(Change{Object: Object{Path: path, Content: content}}), nil
+	return s.record(storeapi.Change{Object: storeapi.Object{Path: path, Content: content}}), nil
 }
 
 // replace updates or removes an object whose version is the expected one.
@@ -140,10 +141,10 @@
 	if o.Version != version {
 		return 0, conflictError{o.Version}
 	}
-	return s.record(Change{Object: Object{Path: path, Content: content}, Removed: remove}), nil
+	return s.record(storeapi.Change{Object: storeapi.Object{Path: path, Content: content}, Removed: remove}), nil
 }
 
-func (s *Store) record(c Change) uint64 {
+func (s *Store) record(c storeapi.Change) uint64 {
 	s.version++
 	c.Version = s.version
 	if c.Removed {
@@ -164,14 +165,14 @@
 // since returns the changes after a version, and channels that close at the
 // next change and when watches are cut. covered is false if changes after the
 // version were forgotten or the version is from the future.
-func (s *Store) since(prefix string, after uint64) (out Changes, changed, cut <-chan struct{}, covered bool) {
+func (s *Store) since(prefix string, after uint64) (out storeapi.Changes, changed, cut <-chan struct{}, covered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if after < s.floor || after > s.version {
 		return out, nil, nil, false
 	}
-	out.Revision, out.Changes = s.version, []Change{}
-	i, _ := slices.BinarySearchFunc(s.history, after+1, func(c Change, v uint64) int { return int(c.Version) - int(v) })
+	out.Revision, out.Changes = s.version, []storeapi.Change{}
+	i, _ := slices.BinarySearchFunc(s.history, after+1, func(c storeapi.Change, v uint64) int { return int(c.Version) - int(v) })
 	size := 0
 	for _, c := range s.history[i:] {
 		if !strings.HasPrefix(c.Path, prefix) {
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -21,7 +21,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/bulrushshelf/bulrushshelf/internal/standin/store"
+	"github.com/bulrushshelf/bulrushshelf/internal/storeapi"
 )
 
 // The counters of the client.
@@ -80,7 +80,7 @@
 	setDefault(&o.Backoff, DefaultBackoff)
 	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
 	setDefault(&o.Wait, DefaultWait)
-	setDefault(&o.WriteBound, store.WriteBound)
+	setDefault(&o.WriteBound, storeapi.WriteBound)
 	if o.Counter == nil {
 		o.Counter = noCounter{}
 	}
@@ -152,7 +152,7 @@
 		}
 		return nil
 	}
-	var f store.Failure
+	var f storeapi.Failure
 	_ = json.Unmarshal(data, &f) // a failure without a body is classed by its status
 	e := &Error{Call: k.String(), Message: f.Message, Version: f.Version}
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
@@ -231,7 +231,7 @@
 }
 
 // Object is an object of the store.
-type Object = store.Object
+type Object = storeapi.Object
 
 // Get returns one object.
 func (c *Client) Get(ctx context.Context, path string) (Object, error) {
@@ -252,9 +252,9 @@
 	var out Listing
 	after := ""
 	for first := true; ; first = false {
-		var page store.Page
+		var page storeapi.Page
 		q := url.Values{"prefix": {prefix}, "after": {after}}
-		if err := c.read(ctx, call{method: http.MethodGet, path: store.ObjectsPath, query: q}, &page); err != nil {
+		if err := c.read(ctx, call{method: http.MethodGet, path: storeapi.ObjectsPath, query: q}, &page); err != nil {
 			return Listing{}, err
 		}
 		if first {
@@ -269,4 +269,6 @@
 }
 
 // objectPath keeps the slashes of an object's path; JoinPath escapes the rest.
-func objectPath(path string) string { return store.ObjectsPath + "/" + strings.TrimPrefix(path, "/") }
+func objectPath(path string) string {
+	return storeapi.ObjectsPath + "/" + strings.TrimPrefix(path, "/")
+}
--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/standin/store"
+	"github.com/bulrushshelf/bulrushshelf/internal/storeapi"
 )
 
 type counts struct {
@@ -256,9 +257,9 @@
 	s, c, n, _ := start(t, store.Options{ReadsPerSecond: 2, WritesPerSecond: 4, Now: func() time.Time { return now }}, Options{Attempts: 3})
 	_, err := c.Update(ctx, "a", 1, nil)
 	is.Equal(KindOf(err), NotFound)
-	_, err = c.Create(ctx, "a", make([]byte, store.MaxContent+1))
+	_, err = c.Create(ctx, "a", make([]byte, storeapi.MaxContent+1))
 	is.Equal(KindOf(err), TooLarge)
-	_, err = c.Create(ctx, "a", make([]byte, store.MaxContent))
+	_, err = c.Create(ctx, "a", make([]byte, storeapi.MaxContent))
 	is.NoErr(err)
 	w, err := c.Update(ctx, "a", 7, nil)
 	is.Equal(w.Outcome, NotApplied)
--- a/internal/storeclient/watch.go
+++ b/internal/storeclient/watch.go
@@ -6,11 +6,11 @@
 	"net/url"
 	"strconv"
 
-	"github.com/bulrushshelf/bulrushshelf/internal/standin/store"
+	"github.com/bulrushshelf/bulrushshelf/internal/storeapi"
 )
 
 // Change is one change of an object.
-type Change = store.Change
+type Change = storeapi.Change
 
 // Batch is what a watch hands over at a time. It is empty when a wait ended
 // without a change, which still shows that the store answers.
@@ -63,11 +63,11 @@
 		}
 		return b, nil
 	}
-	var out store.Changes
+	var out storeapi.Changes
 	q := url.Values{
 		"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)},
 		"wait_ms": {strconv.FormatInt(c.o.Wait.Milliseconds(), 10)},
 	}
-	err := c.once(ctx, call{method: http.MethodGet, path: store.WatchPath, query: q, extra: c.o.Wait}, &out)
+	err := c.once(ctx, call{method: http.MethodGet, path: storeapi.WatchPath, query: q, extra: c.o.Wait}, &out)
 	return Batch{Revision: out.Revision, Changes: out.Changes}, err
 }
--- a/internal/storeclient/write.go
+++ b/internal/storeclient/write.go
@@ -10,7 +10,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/bulrushshelf/bulrushshelf/internal/standin/store"
+	"github.com/bulrushshelf/bulrushshelf/internal/storeapi"
 )
 
 // Outcome tells what became of a write.
@@ -80,7 +80,7 @@
 		k.query = url.Values{"version": {strconv.FormatUint(w.version, 10)}}
 	}
 	if !w.remove {
-		body, err := json.Marshal(store.WriteBody{Content: w.content})
+		body, err := json.Marshal(storeapi.WriteBody{Content: w.content})
 		if err != nil {
 			return Write{Outcome: NotApplied}, trace.Wrap(err)
 		}
--- a/internal/strategy/hrw/hrw.go
+++ b/internal/strategy/hrw/hrw.go
@@ -39,14 +39,19 @@
 
 // Order appends to dst the indices of the first n candidates, best first.
 func Order(dst []int, key uint64, cands []Candidate, n int) []int {
+	return Top(dst, len(cands), n, func(i int) float64 { return Score(key, cands[i]) })
+}
+
+// Top appends to dst the indices below count of the n highest scores, best
+// first. Indices with a score of 0 are left out.
+func Top[S float64 | uint64](dst []int, count, n int, score func(int) S) []int {
 	start := len(dst)
-	for i, c := range cands {
-		s := Score(key, c)
+	for i := range count {
+		s, pos := score(i), len(dst)
 		if s == 0 {
 			continue
 		}
-		pos := len(dst)
-		for pos > start && Score(key, cands[dst[pos-1]]) < s {
+		for pos > start && score(dst[pos-1]) < s {
 			pos--
 		}
 		if pos-start >= n {
