Align file limits, accept the name of a second agent, document setting errors

Cause: check accepted decision files up to 64 KB, which balancers keep without content above 32 KB; the operators' page starts a second agent as TARGET/2, a node_id that the settings refused; the configuration page lacked the errors of settings. Change: 32 KB everywhere, with a test that the limits agree; node_id takes one slash; the page shows each message.

--- a/internal/config/field.go
+++ b/internal/config/field.go
@@ -61,7 +61,7 @@
 	MaxWarmup       = time.Hour
 	MinKeyRetention = time.Minute
 	MaxKeyRetention = 7 * 24 * time.Hour
-	// MaxAddresses bounds one list; a file of 64 KB holds fewer long addresses.
+	// MaxAddresses bounds one list; a file of 32 KB holds fewer long addresses.
 	MaxAddresses = 4096
 	maxNameBytes = 128
 )
--- a/internal/docgen/configuration.go
+++ b/internal/docgen/configuration.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/config"
@@ -58,7 +60,8 @@
 
 func settingFields(b *strings.Builder, bin settings.Binary) {
 	fmt.Fprintf(b, "\n## Settings of %s\n\n", bin)
-	b.WriteString("| setting | type | range | default | meaning |\n|---|---|---|---|---|\n")
+	b.WriteString("| setting | type | range | default | meaning | message for a wrong type |\n|---|---|---|---|---|---|\n")
+	refusals := settingRefusals(bin)
 	for _, f := range settings.Fields(bin) {
 		name, byDefault := "`"+f.Name+"`", f.Default
 		if f.NoFlag {
@@ -67,11 +70,52 @@
 		if f.Required {
 			byDefault = "required"
 		}
-		row(b, name, f.Type, f.Range, byDefault, f.Doc)
+		row(b, name, f.Type, f.Range, byDefault, f.Doc, refusals[f.Name])
 	}
 	b.WriteString("\nEach setting is a field of the YAML file and, unless it says otherwise, a flag with dashes in place of underscores,\nwhich overrides the file.\n")
 }
 
+// settingRefusals returns what the settings of a binary say about a mapping as
+// the value of each field.
+func settingRefusals(bin settings.Binary) map[string]string {
+	dir, err := os.MkdirTemp("", "docgen")
+	if err != nil {
+		return nil
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "settings.yaml")
+	out := make(map[string]string)
+	for _, f := range settings.Fields(bin) {
+		if os.WriteFile(path, []byte(f.Name+": {a: 1}\n"), 0o600) != nil {
+			return nil
+		}
+		for line := range strings.Lines(loadError(bin, path)) {
+			line = strings.ReplaceAll(strings.TrimSpace(line), path, "settings.yaml")
+			if strings.HasPrefix(line, "settings.yaml:1:") && !strings.Contains(line, "is required") {
+				out[f.Name] = "`" + line + "`"
+				break
+			}
+		}
+	}
+	return out
+}
+
+func loadError(bin settings.Binary, path string) string {
+	var err error
+	switch args := []string{"--settings", path}; bin {
+	case settings.BinaryBalancer:
+		_, err = settings.LoadBalancer(args)
+	case settings.BinaryAgent:
+		_, err = settings.LoadAgent(args)
+	case settings.BinaryStore:
+		_, err = settings.LoadStore(args)
+	}
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 func row(b *strings.Builder, cells ...string) {
 	for i, c := range cells {
 		cells[i] = strings.ReplaceAll(c, "|", `\|`)
--- a/internal/docgen/docgen_test.go
+++ b/internal/docgen/docgen_test.go
@@ -7,6 +7,9 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/confsync"
+	"github.com/bulrushshelf/bulrushshelf/internal/strictyaml"
 )
 
 var update = flag.Bool("update", false, "write the generated documents")
@@ -48,3 +51,9 @@
 func TestGoldenCapacityPageMatchesSlopes(t *testing.T) {
 	compare(t, "../../docs/CAPACITY.md", Capacity())
 }
+
+// Guards against a decision file that check accepts and the balancers cannot
+// spread: limits of 64 KB and 32 KB once stood side by side.
+func TestFileLimitsAgree(t *testing.T) {
+	is.New(t).Equal(strictyaml.MaxBytes, confsync.MaxFile)
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"go.yaml.in/yaml/v3"
 )
 
@@ -36,6 +38,19 @@
 seeds: [127.0.0.1:7100]
 `
 
+// Guards against an agent that cannot be started beside the one it replaces.
+func TestNodeIDOfASecondAgent(t *testing.T) {
+	is := is.New(t)
+	path := write(t, agentFile+"keys: ["+keyText+"]\n")
+	a, err := LoadAgent([]string{"--settings", path, "--node-id", "dk-east-a-dispatch-1/2"})
+	is.NoErr(err)
+	is.Equal((model.Member{ID: a.NodeID}).Target(), model.NodeID("dk-east-a-dispatch-1"))
+	for _, bad := range []string{"a/", "/2", "a/2/3", "A/2"} {
+		_, err := LoadAgent([]string{"--settings", path, "--node-id", bad})
+		is.True(err != nil)
+	}
+}
+
 // Guards against keys in logs, status pages and error messages.
 func TestSecretIsNeverPrinted(t *testing.T) {
 	is := is.New(t)
--- a/internal/settings/spec.go
+++ b/internal/settings/spec.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/strictyaml"
 )
 
@@ -42,12 +43,15 @@
 	MaxWeight = 100.0
 )
 
-const addrType = "IP:port"
+const (
+	addrType  = "IP:port"
+	maxNodeID = 128
+)
 
 func (c *Common) specs(first ...spec) []spec {
 	return append(first,
 		spec{Field{Name: "node_id", Type: "text", Required: true,
-			Doc: "Name of the process, unique in the deployment. Decisions about a target name its agent's node_id."}, text, name(&c.NodeID)},
+			Doc: "Name of the process, unique in the deployment. An agent has the name of its target, which decisions use, and a second agent beside it that name, a slash and a suffix."}, text, nodeID(&c.NodeID)},
 		spec{Field{Name: "datacentre", Type: "text", Required: true, Doc: "Data centre of the process."}, text, name(&c.DataCentre)},
 		spec{Field{Name: "peer_address", Type: addrType, Required: true, Doc: "UDP address for peer messages and forwarded packets."}, text, address(&c.PeerAddr)},
 		spec{Field{Name: "admin_address", Type: addrType, Required: true, Doc: "TCP address for bulrushshelf-ctl."}, text, address(&c.AdminAddr)},
@@ -107,6 +111,19 @@
 	}
 }
 
+var validNodeID = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*(/[a-z0-9._-]+)?$`)
+
+func nodeID(out *model.NodeID) func(strictyaml.Value) {
+	return func(v strictyaml.Value) {
+		s, ok := v.Text()
+		if ok && (len(s) > maxNodeID || !validNodeID.MatchString(s)) {
+			v.Refuse("%q must be lower-case letters, digits, '.', '_' and '-', for an agent with a suffix after one '/', at most %d bytes", s, maxNodeID)
+			return
+		}
+		*out = model.NodeID(s)
+	}
+}
+
 func address(out *netip.AddrPort) func(strictyaml.Value) {
 	return func(v strictyaml.Value) {
 		s, ok := v.Text()
--- a/internal/strictyaml/document.go
+++ b/internal/strictyaml/document.go
@@ -13,13 +13,14 @@
 )
 
 const (
-	// MaxBytes is the largest file that is read. The largest useful decision, a
+	// MaxBytes is the largest file that is read. A decision file must fit a
+	// datagram between nodes, see confsync.MaxFile. The largest useful decision, a
 	// list of a few hundred addresses, takes less than 16 KB.
-	MaxBytes = 64 << 10
+	MaxBytes = 32 << 10
 	// maxDepth is the deepest nesting: the mapping, a list and its items. One
 	// level more leaves room for a clear type error on the item.
 	maxDepth = 4
-	// maxFindings bounds the findings of one file: a file of 64 KB can repeat a
+	// maxFindings bounds the findings of one file: a file of 32 KB can repeat a
 	// fault more than 13,000 times.
 	maxFindings = 100
 )
