demo: count a feed that stands still as broken

Cause: the demonstration looked only for ended feeds and gaps, so its zero broken flows could not show a connection that had stopped for good (found by asking which check cannot fail). Change: a feed without an event for 5 s is broken. Conclusion: the zero now covers stalls above 5 s.

--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -25,6 +25,7 @@
 	feedsPerHost    = 20
 	workersPerHost  = 2
 	feedInterval    = 100 * time.Millisecond
+	feedStall       = 5 * time.Second // without an event; a few lost packets in a row cost less
 	uploadSize      = 60_000
 	uploadEvery     = 5 // of a worker's requests, one is an upload
 	workerPause     = 40 * time.Millisecond
@@ -97,10 +98,13 @@
 	}
 }
 
-// feed holds one feed open to the end and checks that no event is missing.
+// feed holds one feed open to the end and checks that no event is missing and
+// that it does not stand still.
 func (t *traffic) feed(ctx context.Context, c *caller.Caller, svc ServiceSpec) {
 	url := fmt.Sprintf("http://%s%s?every=%d", svc.Addr, svc.FeedPath, feedInterval.Milliseconds())
-	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	feedCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(feedCtx, http.MethodGet, url, nil)
 	resp, err := c.Client(false).Do(req)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -109,6 +113,8 @@
 		return
 	}
 	defer resp.Body.Close()
+	stalled := time.AfterFunc(feedStall, cancel)
+	defer stalled.Stop()
 	t.feedsOpened.Add(1)
 	t.feedsOpen.Add(1)
 	defer t.feedsOpen.Add(-1)
@@ -124,8 +130,13 @@
 			return
 		}
 		next++
+		stalled.Reset(feedStall)
 	}
-	if ctx.Err() == nil {
+	switch {
+	case ctx.Err() != nil:
+	case feedCtx.Err() != nil:
+		t.breakFlow("feed of %s from %s stood still for %v after %d events", svc.Name, c.Addr, feedStall, next)
+	default:
 		t.breakFlow("feed of %s from %s ended after %d events: status %d, %v", svc.Name, c.Addr, next, resp.StatusCode, lines.Err())
 	}
 }
