--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -45,7 +45,7 @@
 	Seeds      []netip.AddrPort // peer addresses of balancers
 	Store      *storeclient.Client
 	// CheckTarget asks the target for its health, once at a later start.
-	CheckTarget func(ctx context.Context) (bool, error)
+	CheckTarget func(ctx context.Context) (passthrough.Health, error)
 	Metrics     *telemetry.Metrics
 	Logger      *log.Logger
 }
@@ -165,26 +165,25 @@
 	return agentsPrefix + strings.ReplaceAll(a.o.PeerAddr.String(), ":", "-")
 }
 
-// register writes the agent's object until it is in the store. An agent that
-// starts again at its address finds its object there.
+// register writes the agent's object until it is in the store.
 func (a *Agent) register(ctx context.Context) error {
-	content, err := json.Marshal(agentObject{Peer: a.o.PeerAddr})
+	content, err := json.Marshal(agentObject{Peer: a.o.PeerAddr, Incarnation: a.o.Core.Incarnation})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	for ctx.Err() == nil {
 		w, err := a.o.Store.Create(ctx, a.objectPath(), content)
+		var present *storeclient.Error
+		if errors.As(err, &present) && present.Kind == storeclient.Conflict {
+			w, err = a.o.Store.Update(ctx, a.objectPath(), present.Version, content)
+		}
 		if err == nil {
 			a.version.Store(w.Version)
-			a.o.Metrics.Count(CounterRegister, "created", 1)
-			a.say(ctx, "registered", "version", w.Version)
-			return nil
-		}
-		var se *storeclient.Error
-		if errors.As(err, &se) && se.Kind == storeclient.Conflict {
-			a.version.Store(se.Version)
-			a.o.Metrics.Count(CounterRegister, "present", 1)
-			a.say(ctx, "registered", "version", se.Version)
+			a.o.Metrics.Count(CounterRegister, "written", 1)
+			_ = a.loop.do(ctx, func(now time.Time) { // fails only when the process stops
+				a.logs.put(now, "registered", "version", w.Version, "replaced", present != nil)
+				a.perform(now, a.core.Listed(now))
+			})
 			return nil
 		}
 		a.o.Metrics.Count(CounterRegister, "failed", 1)
@@ -216,12 +215,12 @@
 }
 
 func (a *Agent) checkTarget(ctx context.Context) error {
-	healthy, err := a.o.CheckTarget(ctx)
+	health, err := a.o.CheckTarget(ctx)
 	if ctx.Err() != nil {
 		return nil
 	}
-	a.say(ctx, "health_check", "healthy", healthy, "err", errText(err))
-	_ = a.loop.do(ctx, func(now time.Time) { a.perform(now, a.core.Checked(now, healthy)) }) // fails only when the process stops
+	a.say(ctx, "health_check", "healthy", health == passthrough.Healthy, "running", health != passthrough.NotRunning, "err", errText(err))
+	_ = a.loop.do(ctx, func(now time.Time) { a.perform(now, a.core.Checked(now, health)) }) // fails only when the process stops
 	return nil
 }
 
--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
 	"github.com/bulrushshelf/bulrushshelf/internal/steer"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
@@ -36,10 +37,12 @@
 // agentsPrefix is where agents write their objects in the store.
 const agentsPrefix = "agents/"
 
-// agentObject is an agent's object in the store. It changes only when the agent
-// starts at another address.
+// agentObject is an agent's object in the store.
 type agentObject struct {
 	Peer netip.AddrPort `json:"peer"`
+	// Incarnation makes each start a change, so that a delayed removal by an
+	// earlier start finds another version.
+	Incarnation model.Incarnation `json:"incarnation"`
 }
 
 // BalancerOptions configure a balancer.
@@ -72,11 +75,12 @@
 	ready  atomic.Pointer[string] // reason why not ready, empty if it is
 	config atomic.Pointer[sharedConfig]
 	fetch  chan netip.AddrPort
+	list   chan struct{} // a listing that is not old is wanted
 }
 
 // NewBalancer binds the sockets.
 func NewBalancer(o BalancerOptions) (*Balancer, error) {
-	b := &Balancer{o: o, logs: newLogs(o.Logger), fetch: make(chan netip.AddrPort, 1)}
+	b := &Balancer{o: o, logs: newLogs(o.Logger), fetch: make(chan netip.AddrPort, 1), list: make(chan struct{}, 1)}
 	b.loop = newLoop(o.Metrics, b.logs)
 	b.loop.datagram, b.loop.tick, b.loop.next = b.datagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -212,6 +216,11 @@
 			case b.fetch <- a.To:
 			default: // a fetch is in progress; the next hello asks again
 			}
+		case steer.ListAgents:
+			select {
+			case b.list <- struct{}{}:
+			default: // one is under way
+			}
 		case steer.Count:
 			b.o.Metrics.Count(a.Counter.Name, a.Counter.Reason, 1)
 		case steer.Log:
@@ -305,47 +314,59 @@
 
 // listAgents keeps the list of agents in step with the store.
 func (b *Balancer) listAgents(ctx context.Context) error {
-	healthy, first := true, true
+	healthy, fresh, found := true, true, false
 	for ctx.Err() == nil {
-		var l storeclient.Listing
-		var err error
-		if first {
-			l, err = b.o.Store.List(ctx, agentsPrefix)
-		} else {
-			l, err = b.o.Store.ListStale(ctx, agentsPrefix)
-		}
+		began := time.Now()
+		addrs, err := b.readAgents(ctx, fresh)
 		if (err == nil) != healthy && ctx.Err() == nil {
 			healthy = err == nil
 			b.say(ctx, "store_reachable", "reachable", healthy, "err", errText(err))
 		}
+		if err == nil {
+			if !fresh {
+				began = time.Time{}
+			}
+			found = found || len(addrs) > 0
+			_ = b.loop.do(ctx, func(now time.Time) { b.perform(now, b.core.SetAgents(now, addrs, began)) }) // fails only when the process stops
+		}
 		pause := listInterval
-		if err != nil && first {
+		if !found {
 			pause = listRetry
-		} else if err == nil {
-			var addrs []netip.AddrPort
-			for _, o := range l.Objects {
-				var a agentObject
-				if json.Unmarshal(o.Content, &a) != nil || !a.Peer.IsValid() {
-					b.o.Metrics.Count(CounterMalformed, "agent_object", 1) // names no agent; the others hold
-					continue
-				}
-				addrs = append(addrs, a.Peer)
-			}
-			if len(addrs) == 0 {
-				pause = listRetry
-			} else {
-				first = false
-			}
-			_ = b.loop.do(ctx, func(now time.Time) { b.perform(now, b.core.SetAgents(now, addrs)) }) // fails only when the process stops
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
+			fresh = !found
+		case <-b.list:
+			fresh = true
 		}
 	}
 	return nil
 }
 
+// readAgents lists the agents' addresses, from an answer that may be old unless
+// fresh is set.
+func (b *Balancer) readAgents(ctx context.Context, fresh bool) ([]netip.AddrPort, error) {
+	list := b.o.Store.ListStale
+	if fresh {
+		list = b.o.Store.List
+	}
+	l, err := list(ctx, agentsPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var addrs []netip.AddrPort
+	for _, o := range l.Objects {
+		var a agentObject
+		if json.Unmarshal(o.Content, &a) != nil || !a.Peer.IsValid() {
+			b.o.Metrics.Count(CounterMalformed, "agent_object", 1) // names no agent; the others hold
+			continue
+		}
+		addrs = append(addrs, a.Peer)
+	}
+	return addrs, nil
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -45,7 +45,7 @@
 	case c.state == steerwire.TargetSilent:
 		c.refuse(now, from, m, s, steerwire.ReasonSilent)
 		return
-	case c.state != steerwire.TargetReady:
+	case c.state != steerwire.TargetReady || !c.admits(now):
 		c.refuse(now, from, m, s, steerwire.ReasonUnready)
 		return
 	case now.Before(c.fullUntil) || len(c.flows) >= maxFlows:
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -32,6 +32,14 @@
 	balancersEvery = 4
 	// fullFor is how long a target that bounced an opening packet counts as full.
 	fullFor = 100 * time.Millisecond
+	// startSlack is how much earlier than its agent a target may have started and
+	// still hold no flow: for one, an earlier agent would have had to hear it, report
+	// it, deliver an opening packet, end and start again within that time. Where a
+	// VM lost power both start within 200 ms.
+	startSlack = 300 * time.Millisecond
+	// unlistedDelay is how long an agent that is not in the store waits after the
+	// first hello before it takes flows: balancers tell each other of it meanwhile.
+	unlistedDelay = time.Second
 	// sweepInterval is the pause between searches for idle flows.
 	sweepInterval = time.Second
 	// endedTTL is how long a flow with a reset or an end in both directions is
@@ -185,6 +193,8 @@
 	unanswered int // opening packets in a row without an answer
 	uncertain  bool
 	leaving    bool
+	listed     bool      // the agent's object is in the store
+	hello      time.Time // first hello of a balancer
 
 	flows     map[model.Flow]*flow
 	notHeld   map[model.Flow]time.Time // flows that the target bounced when probed
@@ -232,6 +242,22 @@
 	c.actions = append(c.actions, Action{Kind: SendMessage, To: to, Message: m})
 }
 
+// Listed notes that the agent's object is in the store, so that every balancer
+// can know of the flows that its target takes from now on.
+func (c *Core) Listed(now time.Time) []Action {
+	c.actions = c.actions[:0]
+	if !c.listed {
+		c.listed = true
+		c.reportAll(now)
+	}
+	return c.actions
+}
+
+// admits reports whether balancers can know of the agent's flows.
+func (c *Core) admits(now time.Time) bool {
+	return c.listed || !c.hello.IsZero() && now.Sub(c.hello) >= unlistedDelay
+}
+
 // Leave marks that the agent is about to stop: new flows go elsewhere.
 func (c *Core) Leave(now time.Time) []Action {
 	c.actions = c.actions[:0]
@@ -252,8 +278,9 @@
 	if c.known && h.Born != c.target.Born {
 		c.forgetFlows(now, "restarted")
 	}
-	if c.uncertain && h.Born > 0 && c.o.Incarnation != 0 && uint64(h.Born) > uint64(c.o.Incarnation) {
-		c.uncertain = false // the target started after the agent, so all its flows were seen
+	if c.uncertain && h.Born > 0 && h.Born+startSlack.Milliseconds() > int64(c.o.Incarnation) {
+		c.uncertain = false // the target started with the agent or later, so all its flows were seen
+		c.log(Entry{Event: "flows_certain", Reason: "target_started_later", Sequence: h.Sequence})
 	}
 	c.known, c.target, c.sign = true, h, now
 	c.coldUntil = now.Add(h.Cold)
@@ -281,16 +308,31 @@
 	return Accepted
 }
 
-// Checked takes the answer of the target to a health check, which counts until
-// the first heartbeat. Slots are unknown then; one is the least a target has.
-func (c *Core) Checked(now time.Time, healthy bool) []Action {
+// Health is the outcome of a health check.
+type Health uint8
+
+// The outcomes. NotRunning means that nothing listens at the target's address,
+// so no target holds flows there.
+const (
+	Unhealthy Health = iota
+	Healthy
+	NotRunning
+)
+
+// Checked takes the outcome of a health check, which counts until the first
+// heartbeat. Slots are unknown then; one is the least a target has.
+func (c *Core) Checked(now time.Time, h Health) []Action {
 	c.actions = c.actions[:0]
-	if c.known || !healthy {
-		return c.actions
+	switch {
+	case c.known:
+	case h == NotRunning && len(c.flows) == 0:
+		c.uncertain = false
+		c.log(Entry{Event: "flows_certain", Reason: "target_not_running"})
+	case h == Healthy:
+		c.sign = now
+		c.target.Slots = 1
+		c.setState(now, steerwire.TargetReady, "health_check")
 	}
-	c.sign = now
-	c.target.Slots = 1
-	c.setState(now, steerwire.TargetReady, "health_check")
 	return c.actions
 }
 
@@ -352,6 +394,9 @@
 			c.log(Entry{Event: "balancer_heard", Reason: from.String()})
 		}
 		c.balancers[from] = now
+		if c.hello.IsZero() {
+			c.hello = now
+		}
 		c.sequence++
 		c.send(from, steerwire.Message{Kind: steerwire.KindReport, Report: c.report(now)})
 	default:
@@ -407,8 +452,12 @@
 		Service: c.o.Service, State: c.state, Slots: c.target.Slots,
 		BusyCenti: int(c.load.average(now)*100 + 0.5), Flows: len(c.flows), BornMillis: c.target.Born,
 	}
-	if c.leaving && r.State == steerwire.TargetReady {
+	switch {
+	case r.State != steerwire.TargetReady:
+	case c.leaving:
 		r.State = steerwire.TargetDraining
+	case !c.admits(now):
+		r.State = steerwire.TargetUnknown
 	}
 	if left := c.coldUntil.Sub(now); left > 0 {
 		r.ColdMillis = int(left / time.Millisecond)
--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -21,6 +21,7 @@
 	at      time.Time // of the last round
 	rounds  int
 	done    bool // no agent holds the flow
+	certain bool // all agents known then answered so, for certain
 	last    bool // the round that decides on a reset
 }
 
@@ -52,17 +53,17 @@
 }
 
 func (c *Core) startRound(now time.Time, key model.Flow, a *ask) {
-	a.waiting, a.unsure, a.done = c.possibleHolders(), a.unsure[:0], false
+	a.waiting, a.unsure, a.done = c.possibleHolders(now), a.unsure[:0], false
 	a.at, a.rounds = now, 1
 	c.sendAsks(key, a)
 }
 
 // possibleHolders returns all agents: an address may have led to another service
 // when the flow opened.
-func (c *Core) possibleHolders() []netip.AddrPort {
+func (c *Core) possibleHolders(now time.Time) []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, t := range c.targets {
-		if t.ever {
+		if t.ever && !t.lost(now) {
 			out = append(out, t.addr)
 		}
 	}
@@ -119,17 +120,54 @@
 	if len(a.packets) > 0 && c.probe(now, key, a) {
 		return
 	}
-	if a.last && len(a.waiting) == 0 && len(a.unsure) == 0 && c.agentsComplete() {
-		// Every agent is certain that its target does not hold the flow.
-		delete(c.asks, key)
-		c.log(Entry{Event: "reset", Flow: key, Reason: "no_holder", Version: c.version(), Age: now.Sub(a.first)})
-		c.reset(key, a.ack, "no_holder")
+	a.certain = len(a.waiting) == 0 && len(a.unsure) == 0
+	if a.certain && a.last && c.agentsComplete(now) {
+		c.resetUnheld(now, key, a)
 		return
 	}
 	a.done, a.at = true, now
 	a.packets = a.packets[:0]
 	c.count(CounterDropped, "no_holder")
 	c.log(Entry{Event: "dropped", Flow: key, Reason: "no_holder", Version: c.version(), Age: now.Sub(a.first), Detail: len(a.waiting)})
+	if a.certain && now.Sub(c.listing) >= listPause {
+		c.listing = now
+		c.actions = append(c.actions, Action{Kind: ListAgents})
+	}
+}
+
+// resetUnheld tells the caller of a flow that no target holds.
+func (c *Core) resetUnheld(now time.Time, key model.Flow, a *ask) {
+	delete(c.asks, key)
+	c.log(Entry{Event: "reset", Flow: key, Reason: "no_holder", Version: c.version(), Age: now.Sub(a.first)})
+	c.reset(key, a.ack, "no_holder")
+}
+
+// resetProven resets the flows that no agent holds. Agents are in the store
+// before they take flows, so a listing that is younger than a flow's first
+// packet names all agents that can hold it.
+func (c *Core) resetProven(now, asOf time.Time) {
+	if !c.agentsComplete(now) {
+		return
+	}
+	var proven []model.Flow
+	more := false
+	for k, a := range c.asks {
+		switch {
+		case !a.done || !a.certain:
+		case a.first.Before(asOf):
+			proven = append(proven, k)
+		default:
+			more = true
+		}
+	}
+	slices.SortFunc(proven, model.Flow.Compare)
+	for _, k := range proven {
+		c.resetUnheld(now, k, c.asks[k])
+	}
+	if more {
+		c.listing = now
+		c.actions = append(c.actions, Action{Kind: ListAgents})
+	}
 }
 
 // probe gives the first packet to the agents that cannot tell, one after the
@@ -162,14 +200,22 @@
 	return has(c.config.Routes[dst].Shares) || has(c.former[dst])
 }
 
-// agentsComplete reports whether all agents that the store lists have reported.
-func (c *Core) agentsComplete() bool {
+// agentsComplete reports whether the agents known are enough to tell that nobody
+// holds a flow: all of the store's have reported or are lost, and no more are
+// lost than are there, so that this balancer is not the one cut off.
+func (c *Core) agentsComplete(now time.Time) bool {
+	reachable, lost := 0, 0
 	for _, t := range c.targets {
-		if t.listed && !t.ever {
+		switch {
+		case t.reachable(now):
+			reachable++
+		case t.lost(now):
+			lost++
+		case t.listed && !t.ever:
 			return false
 		}
 	}
-	return true
+	return reachable > lost
 }
 
 // overdueAsks repeats or ends asks without all answers.
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
@@ -19,6 +20,9 @@
 // opening places the first packet of a flow, or a copy of it.
 func (c *Core) opening(now time.Time, s segment.Segment, raw []byte) {
 	f := c.flows[s.Flow]
+	if f != nil && f.ntried == 0 {
+		return // it waits for a target
+	}
 	if f != nil && (f.opened || now.Sub(f.at) < openTimeout) {
 		// The answer may have been lost on its way to the caller: the same target
 		// answers again, another one would open the flow twice.
@@ -70,6 +74,12 @@
 // place sends the opening packet to the best target that has not had it.
 func (c *Core) place(now time.Time, key model.Flow, f *flow) {
 	best := c.choose(now, f)
+	if best == nil && c.mayGetTarget(now, f) {
+		c.log(Entry{Event: "waiting", Flow: key, Service: f.service, Reason: "targets_unknown", Version: c.version()})
+		f.at = now
+		c.waiting = append(c.waiting, pendingOpen{flow: key, at: now})
+		return
+	}
 	if best == nil {
 		// The caller learns at once that its request has not run, and may retry.
 		c.log(Entry{Event: "refused", Flow: key, Service: f.service, Reason: "no_target", Version: c.version(), Detail: int(f.ntried)})
@@ -88,6 +98,55 @@
 	c.forward(best.addr, f.service, false, f.syn)
 }
 
+// mayGetTarget reports whether a target for the flow may become known within a
+// moment: the balancer or an agent of the service has just started.
+func (c *Core) mayGetTarget(now time.Time, f *flow) bool {
+	if f.ntried > 0 || len(c.waiting) >= maxWaiting {
+		return false
+	}
+	ts := c.byDist[f.service]
+	if len(ts) == 0 {
+		return now.Sub(c.started) < startTimeout
+	}
+	return slices.ContainsFunc(ts, func(t *target) bool {
+		return t.reachable(now) && t.report.State == steerwire.TargetUnknown
+	})
+}
+
+// placeWaiting places the opening packets that wait for a target of a service.
+func (c *Core) placeWaiting(now time.Time, service model.ServiceName) {
+	rest := c.waiting[:0]
+	var due []pendingOpen
+	for _, p := range c.waiting {
+		if f := c.flows[p.flow]; f != nil && f.service == service {
+			due = append(due, p)
+		} else if f != nil {
+			rest = append(rest, p)
+		}
+	}
+	c.waiting = rest
+	for _, p := range due {
+		c.place(now, p.flow, c.flows[p.flow])
+	}
+}
+
+// overdueWaiting refuses opening packets that waited in vain.
+func (c *Core) overdueWaiting(now time.Time) {
+	n := 0
+	for _, p := range c.waiting {
+		if now.Sub(p.at) < holdTimeout {
+			break
+		}
+		n++
+		if f := c.flows[p.flow]; f != nil && f.ntried == 0 {
+			c.log(Entry{Event: "refused", Flow: p.flow, Service: f.service, Reason: "no_target", Version: c.version(), Age: now.Sub(p.at)})
+			c.reset(p.flow, f.ack, "no_target")
+			delete(c.flows, p.flow)
+		}
+	}
+	c.waiting = append(c.waiting[:0], c.waiting[n:]...)
+}
+
 // choose returns the target for a new flow. Targets that did not answer lately
 // are used only if there is no other.
 func (c *Core) choose(now time.Time, f *flow) *target {
@@ -114,6 +173,12 @@
 // following forwards a packet of a flow that was opened before.
 func (c *Core) following(now time.Time, s segment.Segment, raw []byte) {
 	f := c.flows[s.Flow]
+	if f != nil {
+		if t := c.targets[f.target]; t == nil || t.lost(now) {
+			delete(c.flows, s.Flow) // the flow may have been found elsewhere, or is over
+			f = nil
+		}
+	}
 	if f == nil {
 		c.startAsk(now, s, raw)
 		return
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -41,6 +41,16 @@
 	forgetAfter = 5 * time.Second
 	// startTimeout is when a balancer that still has no agent becomes ready.
 	startTimeout = 2 * time.Second
+	// holdTimeout is how long an opening packet waits for a target when the
+	// balancer or the agents have just started: agents report within a few
+	// milliseconds of a hello and know their target's state within half a second.
+	holdTimeout = 700 * time.Millisecond
+	// lostAfter is when an agent without reports no longer counts as a possible
+	// holder of flows: longer than any planned restart takes. Whether its target
+	// lives or not, packets do not reach it from here.
+	lostAfter = 2500 * time.Millisecond
+	// listPause bounds the listings of the store that decide on resets.
+	listPause = 100 * time.Millisecond
 )
 
 // Bounds of the state.
@@ -50,6 +60,7 @@
 	maxHeld       = 8 // packets that wait for the answers to one ask
 	maxTried      = 6 // targets tried for one opening packet
 	maxCandidates = 128
+	maxWaiting    = 1024 // opening packets that wait for a target
 )
 
 // Options configure a core.
@@ -73,6 +84,8 @@
 	SendMessage
 	// ResetCaller sends a reset for Flow, with Ack as the caller's last one.
 	ResetCaller
+	// ListAgents asks for a listing of the agents that is not older than the request.
+	ListAgents
 	// FetchConfig asks the balancer at To for its configuration.
 	FetchConfig
 	// Log records a decision.
@@ -196,6 +209,8 @@
 
 	flows    map[model.Flow]*flow
 	opens    []pendingOpen // in order of time
+	waiting  []pendingOpen // opening packets without a target, in order of time
+	listing  time.Time     // of the last ListAgents
 	asks     map[model.Flow]*ask
 	targets  map[netip.AddrPort]*target
 	peers    map[netip.AddrPort]*peer
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -14,8 +14,9 @@
 // target is an agent and what it last reported of its target.
 type target struct {
 	addr         netip.AddrPort
-	listed       bool // in the store
-	ever         bool // has reported
+	listed       bool      // in the store
+	noted        time.Time // when its address became known
+	ever         bool      // has reported
 	report       steerwire.Report
 	at           time.Time // of the last report
 	first        time.Time // when the agent was first heard, in this incarnation
@@ -26,6 +27,15 @@
 
 func (t *target) reachable(now time.Time) bool { return t.ever && now.Sub(t.at) < targetTimeout }
 
+// lost reports whether the agent has been silent for longer than a restart takes.
+func (t *target) lost(now time.Time) bool {
+	last := t.at
+	if !t.ever {
+		last = t.noted
+	}
+	return now.Sub(last) >= lostAfter
+}
+
 // takesFlows reports whether a new flow may go to the target. suspects admits
 // those that were silent lately.
 func (t *target) takesFlows(now time.Time, suspects bool) bool {
@@ -53,24 +63,28 @@
 	seed        bool
 }
 
-// SetAgents takes the addresses of the agents that the store lists.
-func (c *Core) SetAgents(now time.Time, listed []netip.AddrPort) []Action {
+// SetAgents takes the addresses of the agents that the store lists. asOf is a
+// time at which the listing was complete, zero if it may be old.
+func (c *Core) SetAgents(now time.Time, listed []netip.AddrPort, asOf time.Time) []Action {
 	c.actions = c.actions[:0]
 	for _, t := range c.targets {
 		t.listed = false
 	}
 	for _, a := range listed {
-		t := c.noteAgent(a)
+		t := c.noteAgent(now, a)
 		t.listed = true
 	}
+	if !asOf.IsZero() {
+		c.resetProven(now, asOf)
+	}
 	return c.actions
 }
 
 // noteAgent makes an agent known and says hello to a new one.
-func (c *Core) noteAgent(a netip.AddrPort) *target {
+func (c *Core) noteAgent(now time.Time, a netip.AddrPort) *target {
 	t := c.targets[a]
 	if t == nil {
-		t = &target{addr: a}
+		t = &target{addr: a, noted: now}
 		c.targets[a] = t
 		c.send(a, c.helloMessage(false))
 	}
@@ -107,7 +121,7 @@
 
 // reported takes an agent's report unless a later one came before.
 func (c *Core) reported(now time.Time, from netip.AddrPort, r steerwire.Report) {
-	t := c.noteAgent(from)
+	t := c.noteAgent(now, from)
 	for _, a := range r.Balancers {
 		c.notePeer(now, a, false)
 	}
@@ -132,6 +146,9 @@
 	if old.Service != r.Service || len(c.byDist[r.Service]) == 0 {
 		c.index()
 	}
+	if len(c.waiting) > 0 && r.State == steerwire.TargetReady {
+		c.placeWaiting(now, r.Service)
+	}
 }
 
 // index rebuilds the lists of targets by service.
@@ -175,7 +192,7 @@
 	p.heard, p.incarnation, p.wantsAgents = now, h.Incarnation, h.WantAgents
 	p.revision = max(p.revision, h.Revision)
 	for _, a := range h.Agents {
-		c.noteAgent(a)
+		c.noteAgent(now, a)
 	}
 	if !h.Reply {
 		c.send(from, c.helloTo(now, p, true))
@@ -238,6 +255,7 @@
 	c.tick = now
 	c.overdueOpens(now)
 	c.overdueAsks(now)
+	c.overdueWaiting(now)
 	if now.Sub(c.hello) >= helloInterval {
 		c.hello = now
 		c.forgetSilent(now)
@@ -258,7 +276,7 @@
 		if t.ever && !t.reachable(now) && now.Sub(t.at) < targetTimeout+helloInterval {
 			c.log(Entry{Event: "lost", Service: t.report.Service, Target: a, Reason: "no_report", Age: now.Sub(t.at)})
 		}
-		if !t.listed && now.Sub(t.at) > forgetAfter {
+		if !t.listed && now.Sub(t.at) > forgetAfter && now.Sub(t.noted) > forgetAfter {
 			delete(c.targets, a)
 			c.index()
 		}
@@ -276,6 +294,9 @@
 	if len(c.opens) > 0 {
 		next = earlier(next, c.opens[0].at.Add(openTimeout))
 	}
+	if len(c.waiting) > 0 {
+		next = earlier(next, c.waiting[0].at.Add(holdTimeout))
+	}
 	if len(c.asks) > 0 {
 		next = earlier(next, c.tick.Add(askTimeout/2))
 	}
--- a/internal/steersim/faults_test.go
+++ b/internal/steersim/faults_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/passthrough"
 )
 
 var services = map[model.ServiceName]int{"alpha": 7, "beta": 3}
@@ -76,7 +77,7 @@
 				a.kill()
 				s.after(time.Duration(s.rand.IntN(300))*time.Millisecond, func() {
 					a.start(false)
-					a.perform(a.core.Checked(s.now, true))
+					a.perform(a.core.Checked(s.now, passthrough.Healthy))
 				})
 			}
 		})
@@ -105,7 +106,7 @@
 			a.newTarget(a.target.service)
 			a.target.born -= 5000 // by its clock the target is older than its agent
 			a.start(false)
-			a.perform(a.core.Checked(s.now, true))
+			a.perform(a.core.Checked(s.now, passthrough.Healthy))
 		}
 		clear(s.opened)
 		for _, b := range s.balancers {
@@ -126,12 +127,9 @@
 		s.traffic(15*time.Second, 120, 0.1)
 		for i := range 3 {
 			s.after(time.Duration(2+3*i)*time.Second, func() {
-				fresh := s.addAgent("alpha", false)
-				fresh.listed = i%2 == 0 // the store may refuse the agent
+				s.addAgentListed("alpha", false, i%2 == 0) // the store may refuse the agent
 				for _, b := range s.balancers {
-					if fresh.listed {
-						b.perform(b.core.SetAgents(s.now, []netip.AddrPort{fresh.addr}))
-					}
+					b.perform(b.core.SetAgents(s.now, s.listed(), time.Time{}))
 				}
 				s.agents[i].target.draining = true
 			})
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -27,6 +27,7 @@
 	crossDelay  = 3 * time.Millisecond
 	nearDelay   = 100 * time.Microsecond
 	callerDelay = time.Millisecond
+	storeDelay  = 8 * time.Millisecond
 )
 
 type event struct {
@@ -200,14 +201,19 @@
 	})
 	b.core.AddSeeds(s.now, []netip.AddrPort{s.balancers[0].addr})
 	b.perform(b.core.SetConfig(s.now, s.config))
-	var agents []netip.AddrPort
+	b.perform(b.core.SetAgents(s.now, s.listed(), time.Time{}))
+	b.tick(b.core)
+}
+
+// listed returns the agents in the store.
+func (s *sim) listed() []netip.AddrPort {
+	var out []netip.AddrPort
 	for _, a := range s.agents {
 		if a.listed {
-			agents = append(agents, a.addr)
+			out = append(out, a.addr)
 		}
 	}
-	b.perform(b.core.SetAgents(s.now, agents))
-	b.tick(b.core)
+	return out
 }
 
 func (b *balancer) kill() { b.core, b.inRotation = nil, false }
@@ -233,6 +239,13 @@
 			s.post(b.addr, a.To, a.Message)
 		case steer.ResetCaller:
 			s.reset(b, a.Flow)
+		case steer.ListAgents:
+			core, began := b.core, s.now
+			s.after(storeDelay, func() {
+				if b.core == core {
+					b.perform(core.SetAgents(s.now, s.listed(), began))
+				}
+			})
 		case steer.Log:
 			s.note("balancer %s %s flow=%s target=%s reason=%s n=%d", b.addr, a.Entry.Event, a.Entry.Flow.Src, a.Entry.Target, a.Entry.Reason, a.Entry.Detail)
 		}
@@ -275,8 +288,13 @@
 }
 
 func (s *sim) addAgent(service model.ServiceName, first bool) *agent {
+	return s.addAgentListed(service, first, true)
+}
+
+// addAgentListed adds an agent that is in the store or that the store refuses.
+func (s *sim) addAgentListed(service model.ServiceName, first, listed bool) *agent {
 	i := len(s.agents)
-	a := &agent{s: s, listed: true, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i % 3), byte(i + 1)}), 7000)}
+	a := &agent{s: s, listed: listed, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i % 3), byte(i + 1)}), 7000)}
 	s.agents = append(s.agents, a)
 	a.newTarget(service)
 	a.start(first)
@@ -314,6 +332,13 @@
 		Service: a.target.service, Heartbeat: heartbeat, FlowIdle: time.Minute, FirstStart: first,
 	})
 	a.tick(a.core)
+	if core := a.core; a.listed {
+		s.after(storeDelay, func() {
+			if a.core == core {
+				a.perform(core.Listed(s.now))
+			}
+		})
+	}
 	if len(s.balancers) > 0 {
 		s.post(a.addr, s.balancers[0].addr, steerwire.Message{Kind: steerwire.KindReport, Report: a.core.Report(s.now)})
 	}
