passthrough: schedule requests that wait for a slot; pace returning callers

Cause: after the final fault targets are cold and all callers return at once. Ruled out: uneven placement (50 +- 2 flows a target in half a second), slow start (ready 0.25 s after power).

Change: internal/schedule orders requests beyond the slots (in time first, then urgency, then newest); the agent keeps their packets. internal/pacing lets callers of ended flows return newest first as slots are free, 400 ms at the most. Forwarded packets carry the route's urgency, objective and deadline.

--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -199,7 +199,7 @@
 	for _, a := range actions {
 		switch a.Kind {
 		case steer.SendForward:
-			b.out = steerwire.AppendForward(b.out[:0], steerwire.Forward{Hinted: a.Hinted, Service: a.Service, Packet: a.Packet})
+			b.out = steerwire.AppendForward(b.out[:0], steerwire.Forward{Hinted: a.Hinted, Service: a.Service, Terms: a.Terms, Packet: a.Packet})
 			b.sent("forward", b.peers.write(b.out, a.To))
 		case steer.SendMessage:
 			out, err := steerwire.Append(b.out[:0], a.Message)
--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -82,6 +82,9 @@
 		return
 	}
 	f.phase, f.lastSeen, f.via = held, now, from
+	if c.keep(now, f, m, s) {
+		return
+	}
 	c.fromCaller(now, f, s)
 	c.deliver(s.Flow, m.Packet)
 }
@@ -92,10 +95,10 @@
 
 // fromCaller follows the caller's data: new data while no answer is due starts a request.
 func (c *Core) fromCaller(now time.Time, f *flow, s segment.Segment) {
-	if end := s.Seq + uint32(s.DataLen); s.DataLen > 0 && int32(end-f.nextSeq) > 0 {
-		f.nextSeq, f.sawData = end, true
+	if f.isNew(s) {
+		f.nextSeq = s.Seq + uint32(s.DataLen)
 		if !f.busy {
-			f.busy = true
+			f.busy, f.since = true, now
 			c.load.add(now, 1)
 		}
 	}
@@ -113,6 +116,7 @@
 	c.settle(now, f)
 }
 
+// settle ends the request in progress and starts one that waits.
 func (c *Core) settle(now time.Time, f *flow) {
 	if f.busy {
 		f.busy = false
@@ -122,6 +126,7 @@
 
 func (c *Core) remove(now time.Time, key model.Flow, f *flow) {
 	c.settle(now, f)
+	c.giveUp(key, f)
 	delete(c.flows, key)
 }
 
@@ -161,7 +166,8 @@
 	}
 	if f != nil {
 		f.lastSeen = now
-		if s.DataLen > 0 {
+		if s.DataLen > 0 && f.busy {
+			c.noteWork(now.Sub(f.since))
 			c.settle(now, f)
 		}
 		f.finOut = f.finOut || s.Flags.Has(segment.FIN)
@@ -170,6 +176,7 @@
 		}
 	}
 	c.actions = append(c.actions, Action{Kind: ToCaller, Flow: s.Flow, Packet: raw})
+	c.startWaiting(now)
 	return c.actions
 }
 
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/schedule"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
 )
@@ -134,11 +135,14 @@
 	opened   time.Time
 	lastSeen time.Time
 	nextSeq  uint32 // end of the caller's data seen so far
-	sawData  bool
-	busy     bool // a request was sent and its answer has not begun
+	busy     bool   // a request was sent and its answer has not begun
 	finIn    bool
 	finOut   bool
 	ended    bool
+	since    time.Time // start of the request in progress
+	// kept are the packets of a request that waits for a slot, with what they say.
+	kept         [][]byte
+	keptSegments []segment.Segment
 }
 
 // Heartbeat is what a target says of itself.
@@ -204,6 +208,9 @@
 	sequence  uint64
 	sweep     time.Time
 	load      load
+	queue     schedule.Queue
+	swept     time.Time     // last search for requests that ended unseen
+	work      time.Duration // average time of a request at the target
 	actions   []Action
 }
 
@@ -475,6 +482,7 @@
 	c.actions = c.actions[:0]
 	c.overdueOpens(now)
 	c.overdueProbes(now)
+	c.overdueRequests(now)
 	if c.state == steerwire.TargetReady || c.state == steerwire.TargetDraining {
 		if now.Sub(c.sign) > heartbeatsMissed*c.o.Heartbeat {
 			c.setState(now, steerwire.TargetSilent, "no_heartbeat")
@@ -499,6 +507,9 @@
 	if len(c.opens) > 0 {
 		next = earlier(next, c.opens[0].at.Add(acceptTimeout))
 	}
+	if c.load.busy > 0 {
+		next = earlier(next, c.swept.Add(requestSweep))
+	}
 	if len(c.probes) > 0 {
 		next = earlier(next, c.probes[0].at.Add(probeTimeout))
 	}
--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -27,6 +27,12 @@
 
 // startAsk asks all agents that may hold the flow and keeps the packet.
 func (c *Core) startAsk(now time.Time, s segment.Segment, raw []byte) {
+	if r, ok := c.returning[s.Flow]; ok {
+		r.ack = s.Ack
+		c.returning[s.Flow] = r
+		c.count(CounterDropped, "returning")
+		return
+	}
 	a := c.asks[s.Flow]
 	if a == nil {
 		if len(c.asks) >= maxAsks {
@@ -111,7 +117,7 @@
 	c.flows[key] = f
 	c.log(Entry{Event: "found", Flow: key, Service: f.service, Target: target, Reason: reason, Version: c.version(), Age: now.Sub(a.at), Detail: a.rounds})
 	for _, p := range a.packets {
-		c.forward(target, f.service, reason == "held", p)
+		c.forward(key, target, f.service, reason == "held", p)
 	}
 }
 
@@ -138,8 +144,7 @@
 // resetUnheld tells the caller of a flow that no target holds.
 func (c *Core) resetUnheld(now time.Time, key model.Flow, a *ask) {
 	delete(c.asks, key)
-	c.log(Entry{Event: "reset", Flow: key, Reason: "no_holder", Version: c.version(), Age: now.Sub(a.first)})
-	c.reset(key, a.ack, "no_holder")
+	c.returnLater(now, key, returning{ack: a.ack, since: a.first})
 }
 
 // resetProven resets the flows that no agent holds. Agents are in the store
@@ -187,7 +192,7 @@
 	delete(c.asks, key)
 	c.flows[key] = f
 	c.log(Entry{Event: "probed", Flow: key, Service: f.service, Target: f.target, Version: c.version(), Detail: int(f.ntried)})
-	c.forward(f.target, f.service, false, a.packets[0])
+	c.forward(key, f.target, f.service, false, a.packets[0])
 	return true
 }
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/pacing"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
 )
@@ -101,6 +102,7 @@
 	To      netip.AddrPort
 	Service uint64
 	Hinted  bool
+	Terms   steerwire.Terms
 	Packet  []byte
 	Message steerwire.Message
 	Flow    model.Flow
@@ -145,6 +147,7 @@
 type Route struct {
 	Name   string
 	Shares []Share
+	Terms  steerwire.Terms // of its requests
 }
 
 // Share is a service's part of a route's flows.
@@ -207,21 +210,24 @@
 	started time.Time
 	random  uint64
 
-	flows    map[model.Flow]*flow
-	opens    []pendingOpen // in order of time
-	waiting  []pendingOpen // opening packets without a target, in order of time
-	listing  time.Time     // of the last ListAgents
-	asks     map[model.Flow]*ask
-	targets  map[netip.AddrPort]*target
-	peers    map[netip.AddrPort]*peer
-	byDist   map[model.ServiceName][]*target // targets of each service, in order of address
-	hello    time.Time                       // of the last hellos
-	sweep    time.Time                       // of the last search for idle flows
-	tick     time.Time
-	leaving  bool
-	actions  []Action
-	cands    []candidate
-	fetching time.Time // of the last FetchConfig
+	flows   map[model.Flow]*flow
+	opens   []pendingOpen // in order of time
+	waiting []pendingOpen // opening packets without a target, in order of time
+	listing time.Time     // of the last ListAgents
+	asks    map[model.Flow]*ask
+	targets map[netip.AddrPort]*target
+	peers   map[netip.AddrPort]*peer
+	byDist  map[model.ServiceName][]*target // targets of each service, in order of address
+	hello   time.Time                       // of the last hellos
+	sweep   time.Time                       // of the last search for idle flows
+	tick    time.Time
+	leaving bool
+
+	returns   map[model.ServiceName]*pacing.Queue[model.Flow]
+	returning map[model.Flow]returning
+	actions   []Action
+	cands     []candidate
+	fetching  time.Time // of the last FetchConfig
 }
 
 // New returns a core that starts now.
@@ -230,7 +236,8 @@
 		o: o, started: now, tick: now, random: model.Mix(o.Seed),
 		former: make(map[netip.AddrPort][]Share), flows: make(map[model.Flow]*flow), asks: make(map[model.Flow]*ask),
 		targets: make(map[netip.AddrPort]*target), peers: make(map[netip.AddrPort]*peer),
-		byDist: make(map[model.ServiceName][]*target),
+		byDist:  make(map[model.ServiceName][]*target),
+		returns: make(map[model.ServiceName]*pacing.Queue[model.Flow]), returning: make(map[model.Flow]returning),
 	}
 	return c
 }
@@ -313,9 +320,10 @@
 	c.actions = append(c.actions, Action{Kind: SendMessage, To: to, Message: m})
 }
 
-func (c *Core) forward(to netip.AddrPort, service model.ServiceName, hinted bool, packet []byte) {
+func (c *Core) forward(key model.Flow, to netip.AddrPort, service model.ServiceName, hinted bool, packet []byte) {
 	c.actions = append(c.actions, Action{
-		Kind: SendForward, To: to, Service: model.HashString(string(service)), Hinted: hinted, Packet: packet,
+		Kind: SendForward, To: to, Service: model.HashString(string(service)), Hinted: hinted,
+		Terms: c.config.Routes[key.Dst].Terms, Packet: packet,
 	})
 }
 
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -256,6 +256,7 @@
 	c.overdueOpens(now)
 	c.overdueAsks(now)
 	c.overdueWaiting(now)
+	c.releaseReturns(now)
 	if now.Sub(c.hello) >= helloInterval {
 		c.hello = now
 		c.forgetSilent(now)
@@ -294,6 +295,9 @@
 	if len(c.opens) > 0 {
 		next = earlier(next, c.opens[0].at.Add(openTimeout))
 	}
+	if len(c.returning) > 0 {
+		next = earlier(next, c.tick.Add(returnInterval))
+	}
 	if len(c.waiting) > 0 {
 		next = earlier(next, c.waiting[0].at.Add(holdTimeout))
 	}
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -90,6 +90,7 @@
 	for i, n := range names {
 		s.config.Routes[netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)}), 443)] = steer.Route{
 			Name: n, Shares: []steer.Share{{Service: model.ServiceName(n), Weight: 1}},
+			Terms: steerwire.Terms{Priority: 1, Objective: 150 * time.Millisecond, Deadline: 1200 * time.Millisecond},
 		}
 		for range services[model.ServiceName(n)] {
 			s.addAgent(model.ServiceName(n), true)
@@ -233,7 +234,7 @@
 		switch a.Kind {
 		case steer.SendForward:
 			s.post(b.addr, a.To, steerwire.Message{Kind: steerwire.KindForward, Forward: steerwire.Forward{
-				Hinted: a.Hinted, Service: a.Service, Packet: append([]byte(nil), a.Packet...),
+				Hinted: a.Hinted, Service: a.Service, Terms: a.Terms, Packet: append([]byte(nil), a.Packet...),
 			}})
 		case steer.SendMessage:
 			s.post(b.addr, a.To, a.Message)
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -9,7 +9,9 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -23,8 +25,11 @@
 	magic = 0xB5
 	// headLen is the length of magic, format and kind.
 	headLen = 3
-	// forwardLen is the length of a Forward or Refuse without its packet.
-	forwardLen = headLen + 1 + 8
+	// forwardLen is the length of a Forward or Refuse without its packet; a Refuse
+	// has no terms.
+	forwardLen = headLen + 1 + 8 + termsLen
+	// termsLen is the length of Terms: priority, objective and deadline in milliseconds.
+	termsLen = 1 + 2 + 2
 	// MaxMessage bounds a message: a packet of a flow and the longest head.
 	MaxMessage = 2048
 	// MaxPeers bounds the addresses in one message, so that it fits MaxMessage.
@@ -68,12 +73,39 @@
 	return "invalid"
 }
 
+// Terms tell how urgent the requests of a flow are. Times are rounded to
+// milliseconds; 0 is none.
+type Terms struct {
+	Priority  uint8 // 0 is the most urgent
+	Objective time.Duration
+	Deadline  time.Duration
+}
+
+func (t Terms) append(dst []byte) []byte {
+	dst = append(dst, t.Priority)
+	dst = binary.BigEndian.AppendUint16(dst, clampMillis(t.Objective))
+	return binary.BigEndian.AppendUint16(dst, clampMillis(t.Deadline))
+}
+
+func decodeTerms(b []byte) Terms {
+	return Terms{
+		Priority:  b[0],
+		Objective: time.Duration(binary.BigEndian.Uint16(b[1:])) * time.Millisecond,
+		Deadline:  time.Duration(binary.BigEndian.Uint16(b[3:])) * time.Millisecond,
+	}
+}
+
+func clampMillis(d time.Duration) uint16 {
+	return uint16(min(max(d.Milliseconds(), 0), math.MaxUint16))
+}
+
 // Forward carries a packet to an agent. Service is the hash of the name of the
 // service that the balancer means, so that an address that was given to another
 // service refuses it.
 type Forward struct {
 	Hinted  bool // the sender believes that the target holds the flow
 	Service uint64
+	Terms   Terms
 	Packet  []byte // aliases the buffer that was decoded
 }
 
@@ -191,13 +223,13 @@
 		hinted = 1
 	}
 	dst = append(dst, magic, Format, byte(KindForward), hinted)
-	return append(binary.BigEndian.AppendUint64(dst, f.Service), f.Packet...)
+	return append(f.Terms.append(binary.BigEndian.AppendUint64(dst, f.Service)), f.Packet...)
 }
 
 // AppendRefuse appends the encoding of r.
 func AppendRefuse(dst []byte, r Refuse) []byte {
 	dst = append(dst, magic, Format, byte(KindRefuse), byte(r.Reason))
-	return append(binary.BigEndian.AppendUint64(dst, r.Service), r.Packet...)
+	return append(Terms{}.append(binary.BigEndian.AppendUint64(dst, r.Service)), r.Packet...)
 }
 
 // Append appends the encoding of m.
@@ -242,7 +274,7 @@
 		}
 		service, packet := binary.BigEndian.Uint64(b[headLen+1:]), b[forwardLen:]
 		if m.Kind == KindForward {
-			m.Forward = Forward{Hinted: b[headLen] != 0, Service: service, Packet: packet}
+			m.Forward = Forward{Hinted: b[headLen] != 0, Service: service, Terms: decodeTerms(b[headLen+9:]), Packet: packet}
 		} else {
 			m.Refuse = Refuse{Reason: Reason(b[headLen]), Service: service, Packet: packet}
 		}
