--- a/internal/docgen/configuration.go
+++ b/internal/docgen/configuration.go
@@ -32,7 +32,10 @@
 
 `)
 	decisionFields(&b)
-	for _, bin := range []settings.Binary{settings.BinaryBalancer, settings.BinaryAgent, settings.BinaryStore} {
+	for _, bin := range []settings.Binary{
+		settings.BinaryBalancer, settings.BinaryAgent, settings.BinaryStore,
+		settings.BinarySteeringBalancer, settings.BinaryPassthroughAgent,
+	} {
 		settingFields(&b, bin)
 	}
 	return strings.TrimRight(b.String(), "\n") + "\n"
@@ -109,6 +112,10 @@
 		_, err = settings.LoadAgent(args)
 	case settings.BinaryStore:
 		_, err = settings.LoadStore(args)
+	case settings.BinarySteeringBalancer:
+		_, err = settings.LoadSteeringBalancer(args)
+	case settings.BinaryPassthroughAgent:
+		_, err = settings.LoadPassthroughAgent(args)
 	}
 	if err == nil {
 		return ""
--- a/internal/docgen/docgen_test.go
+++ b/internal/docgen/docgen_test.go
@@ -47,6 +47,21 @@
 	}
 }
 
+// Guards against the same for the adapter of the users' platform.
+func TestOperationsPageNamesEveryReasonOfTheAdapter(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	reasons, err := Reasons("../../platform")
+	is.NoErr(err)
+	is.True(len(reasons) > 0)
+	for _, r := range reasons {
+		if !strings.Contains(string(page), "`"+r+"`") {
+			t.Errorf("docs/OPERATIONS.md does not explain the reason %q", r)
+		}
+	}
+}
+
 // Guards against capacity figures that no longer follow from their slopes.
 func TestGoldenCapacityPageMatchesSlopes(t *testing.T) {
 	compare(t, "../../docs/CAPACITY.md", Capacity())
--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -158,6 +158,7 @@
 			c.flows[s.Flow] = f
 		}
 	case s.Accepts():
+		c.bouncedOpens = 0
 		if f.phase == opening {
 			f.phase, f.initial = accepted, s.Seq
 		}
@@ -200,6 +201,9 @@
 			c.fullUntil = now.Add(fullFor)
 			c.remove(now, s.Flow, f)
 			c.refuse(now, f.via, m, s, steerwire.ReasonFull)
+			if c.bouncedOpens++; c.bouncedOpens >= unansweredOpens && c.state == steerwire.TargetReady {
+				c.setState(now, steerwire.TargetSilent, "openings_bounced")
+			}
 		}
 	case f.phase == probing:
 		c.remove(now, s.Flow, f)
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -53,7 +53,7 @@
 const maxFlows = 65_536
 
 // unansweredOpens is how many opening packets in a row a target may leave
-// unanswered before it counts as silent: one may be lost.
+// unanswered, or hand back, before it counts as silent: one may be lost.
 const unansweredOpens = 2
 
 // Options configure a core.
@@ -199,11 +199,14 @@
 	coldUntil  time.Time
 	fullUntil  time.Time
 	unanswered int // opening packets in a row without an answer
-	uncertain  bool
-	leaving    bool
-	listed     bool      // the agent's object is in the store
-	hello      time.Time // first hello of a balancer
-	admitted   bool      // balancers were told that the agent takes flows
+	// bouncedOpens counts opening packets in a row that the target handed back. A
+	// target that takes none must not look idle to the balancers.
+	bouncedOpens int
+	uncertain    bool
+	leaving      bool
+	listed       bool      // the agent's object is in the store
+	hello        time.Time // first hello of a balancer
+	admitted     bool      // balancers were told that the agent takes flows
 
 	flows     map[model.Flow]*flow
 	notHeld   map[model.Flow]time.Time // flows that the target bounced when probed
