steer: batch questions, greet less on large deployments, search only with all agents

Balancers greeted each other and answered each greeting four times a second, 384 messages a second.

Change: questions of 10 ms travel together; a balancer sends at most 120 hellos a second to agents, and one a second to balancers unless an agent is new; answers that wait are read before timeouts fire; log lines are bounded at 100 a second; a counter's attribute is built once. A search goes on until every known agent was asked or is lost, before it probes or resets. A wanted listing is not forgotten when another was made just before.

--- a/internal/passnode/logs.go
+++ b/internal/passnode/logs.go
@@ -13,10 +13,11 @@
 const (
 	// logBuffer holds the lines of one burst, as when all flows move.
 	logBuffer = 512
-	// logRate bounds the lines per second: 200 lines of 300 bytes are 60 KB/s.
-	logRate = 200
+	// logRate bounds the lines per second: 100 lines of 300 bytes are 30 KB/s, and
+	// 2 ms of processor time.
+	logRate = 100
 	// logBurst is how many lines may pass at once after a quiet second.
-	logBurst = 400
+	logBurst = 300
 )
 
 // line is one line of the log.
--- a/internal/passnode/loop.go
+++ b/internal/passnode/loop.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"runtime"
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/ring"
@@ -75,12 +76,29 @@
 		}
 		now := time.Now()
 		if !now.Before(l.next()) {
+			// Answers that arrived while the process had no processor come before the
+			// timeouts of what they answer.
+			runtime.Gosched()
+			l.drain()
+			now = time.Now()
 			l.tick(now)
 		}
 		timer.Reset(max(l.next().Sub(now), minPause))
 	}
 }
 
+// drain handles all datagrams that wait, within a bound.
+func (l *loop) drain() {
+	for range queueLen / batchLen {
+		select {
+		case d := <-l.packets.Items():
+			l.batch(d)
+		default:
+			return
+		}
+	}
+}
+
 // minPause keeps a timer that is due at once from spinning the loop.
 const minPause = time.Millisecond
 
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -401,9 +401,11 @@
 	case steerwire.KindForward:
 		c.forwarded(now, from, m.Forward, s)
 	case steerwire.KindAsk:
-		c.send(from, steerwire.Message{Kind: steerwire.KindAnswer, Answer: steerwire.Answer{
-			Flow: m.Ask.Flow, Holding: c.holding(m.Ask.Flow, m.Ask.Ack),
-		}})
+		var a steerwire.Answer
+		for _, q := range m.Ask.Questions {
+			a.Verdicts = append(a.Verdicts, steerwire.Verdict{Flow: q.Flow, Holding: c.holding(q.Flow, q.Ack)})
+		}
+		c.send(from, steerwire.Message{Kind: steerwire.KindAnswer, Answer: a})
 	case steerwire.KindHello:
 		if _, ok := c.balancers[from]; !ok {
 			c.log(Entry{Event: "balancer_heard", Reason: from.String()})
--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -24,6 +24,7 @@
 	asked   []netip.AddrPort // agents asked in this search, in order
 	certain bool             // all of asked answered so, for certain
 	last    bool             // the round that decides on a reset
+	again   bool             // not all agents were asked; another round follows
 }
 
 // startAsk asks all agents that may hold the flow and keeps the packet.
@@ -63,7 +64,7 @@
 	a.asked = c.possibleHolders(now)
 	a.waiting, a.unsure, a.done = slices.Clone(a.asked), a.unsure[:0], false
 	a.at, a.rounds = now, 1
-	c.sendAsks(key, a)
+	c.sendAsks(now, key, a)
 }
 
 // possibleHolders returns all agents: an address may have led to another service
@@ -79,14 +80,34 @@
 	return out
 }
 
-func (c *Core) sendAsks(f model.Flow, a *ask) {
+// sendAsks notes the questions about a flow. They leave at once when there were
+// none lately, else together with others: after an outage the callers of hundreds
+// of flows return within a second, and each question goes to every agent.
+func (c *Core) sendAsks(now time.Time, f model.Flow, a *ask) {
 	for _, to := range a.waiting {
-		c.send(to, steerwire.Message{Kind: steerwire.KindAsk, Ask: steerwire.Ask{Flow: f, Ack: a.ack}})
+		c.questions[to] = append(c.questions[to], steerwire.Question{Flow: f, Ack: a.ack})
 	}
+	if now.Sub(c.questioned) >= askBatch {
+		c.flushQuestions(now)
+	}
+}
+
+// flushQuestions sends the questions noted for each agent.
+func (c *Core) flushQuestions(now time.Time) {
+	if len(c.questions) == 0 {
+		return
+	}
+	c.questioned = now
+	for _, to := range sortedKeys(c.questions) {
+		for qs := range slices.Chunk(c.questions[to], steerwire.MaxQuestions) {
+			c.send(to, steerwire.Message{Kind: steerwire.KindAsk, Ask: steerwire.Ask{Questions: qs}})
+		}
+	}
+	clear(c.questions)
 }
 
-// answered takes an agent's answer.
-func (c *Core) answered(now time.Time, from netip.AddrPort, m steerwire.Answer) {
+// answered takes an agent's answer to one question.
+func (c *Core) answered(now time.Time, from netip.AddrPort, m steerwire.Verdict) {
 	a := c.asks[m.Flow]
 	if a == nil || a.done {
 		return
@@ -125,6 +146,10 @@
 
 // conclude ends an ask without a holder.
 func (c *Core) conclude(now time.Time, key model.Flow, a *ask) {
+	if len(a.packets) > 0 && !c.askedAll(now, a) {
+		a.again = true // an agent that was not asked may hold the flow
+		return
+	}
 	if len(a.packets) > 0 && c.probe(now, key, a) {
 		return
 	}
@@ -137,8 +162,16 @@
 	a.packets = a.packets[:0]
 	c.count(CounterDropped, "no_holder")
 	c.log(Entry{Event: "dropped", Flow: key, Reason: "no_holder", Version: c.version(), Age: now.Sub(a.first), Detail: len(a.waiting)})
-	if a.certain && now.Sub(c.listing) >= listPause {
-		c.listing = now
+	if a.certain {
+		c.listWanted = true
+		c.listAgents(now)
+	}
+}
+
+// listAgents asks for a listing if one is wanted and the last was long enough ago.
+func (c *Core) listAgents(now time.Time) {
+	if c.listWanted && now.Sub(c.listing) >= listPause {
+		c.listWanted, c.listing = false, now
 		c.actions = append(c.actions, Action{Kind: ListAgents})
 	}
 }
@@ -176,10 +209,7 @@
 	for _, k := range proven {
 		c.resetUnheld(now, k, c.asks[k])
 	}
-	if more {
-		c.listing = now
-		c.actions = append(c.actions, Action{Kind: ListAgents})
-	}
+	c.listWanted = c.listWanted || more
 }
 
 // probe gives the first packet to the agents that cannot tell, one after the
@@ -216,11 +246,15 @@
 // that may hold it was asked and is certain. An agent that reported since the
 // question may be the holder.
 func (c *Core) proves(now time.Time, a *ask) bool {
-	if !a.certain || !c.agentsComplete(now) {
-		return false
-	}
+	return a.certain && c.agentsComplete(now) && c.askedAll(now, a)
+}
+
+// askedAll reports whether all agents that may hold the flow were asked. One that
+// is known and has not reported yet may hold it too.
+func (c *Core) askedAll(now time.Time, a *ask) bool {
 	for _, t := range c.targets {
-		if _, found := slices.BinarySearchFunc(a.asked, t.addr, netip.AddrPort.Compare); t.ever && !t.lost(now) && !found {
+		_, found := slices.BinarySearchFunc(a.asked, t.addr, netip.AddrPort.Compare)
+		if !t.lost(now) && !found {
 			return false
 		}
 	}
@@ -228,17 +262,17 @@
 }
 
 // agentsComplete reports whether the agents known are enough to tell that nobody
-// holds a flow: all of the store's have reported or are lost, and no more are
+// holds a flow: all of them have reported or are lost, and no more are
 // lost than are there, so that this balancer is not the one cut off.
 func (c *Core) agentsComplete(now time.Time) bool {
 	reachable, lost := 0, 0
 	for _, t := range c.targets {
 		switch {
-		case t.reachable(now):
+		case c.reachable(now, t):
 			reachable++
 		case t.lost(now):
 			lost++
-		case t.listed && !t.ever:
+		case !t.ever:
 			return false
 		}
 	}
@@ -257,6 +291,9 @@
 	for _, k := range due {
 		a := c.asks[k]
 		switch {
+		case a.again:
+			a.again = false
+			c.startRound(now, k, a)
 		case a.done && a.last:
 			if now.Sub(a.at) >= forgetAskAfter {
 				delete(c.asks, k)
@@ -271,13 +308,15 @@
 		default:
 			a.rounds++
 			a.at = now
-			c.sendAsks(k, a)
+			c.sendAsks(now, k, a)
 		}
 	}
 }
 
-// Times of a search that found no holder.
+// Times of a search.
 const (
+	// askBatch is how long questions wait for others.
+	askBatch = 10 * time.Millisecond
 	// askAgainAfter bounds the asks for one flow: its caller repeats a packet
 	// after 200 ms at the earliest.
 	askAgainAfter = 150 * time.Millisecond
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -109,7 +109,7 @@
 		return now.Sub(c.started) < startTimeout
 	}
 	return slices.ContainsFunc(ts, func(t *target) bool {
-		return t.reachable(now) && t.report.State == steerwire.TargetUnknown
+		return c.reachable(now, t) && t.report.State == steerwire.TargetUnknown
 	})
 }
 
@@ -153,7 +153,7 @@
 	for _, suspects := range []bool{false, true} {
 		c.cands = c.cands[:0]
 		for _, t := range c.byDist[f.service] {
-			if f.wasTried(t.addr) || !t.takesFlows(now, suspects) || len(c.cands) >= maxCandidates {
+			if f.wasTried(t.addr) || !c.takesFlows(now, t, suspects) || len(c.cands) >= maxCandidates {
 				continue
 			}
 			c.cands = append(c.cands, candidate{target: t, place: t.candidate(now, c.o.DataCentre)})
--- a/internal/steer/returns.go
+++ b/internal/steer/returns.go
@@ -62,7 +62,7 @@
 func (c *Core) capacity(now time.Time, s model.ServiceName) pacing.Capacity {
 	out := pacing.Capacity{Balancers: 1}
 	for _, t := range c.byDist[s] {
-		if !t.takesFlows(now, false) {
+		if !c.takesFlows(now, t, false) {
 			continue
 		}
 		slots := float64(t.report.Slots)
@@ -73,7 +73,7 @@
 		out.Busy += float64(t.report.BusyCenti) / 100
 	}
 	for _, p := range c.peers {
-		if now.Sub(p.heard) < targetTimeout {
+		if now.Sub(p.heard) < peerTimeout {
 			out.Balancers++
 		}
 	}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -17,11 +17,18 @@
 
 // Times of the balancer.
 const (
-	// helloInterval keeps an agent's loss visible within targetTimeout.
+	// helloInterval is the least pause between hellos to agents. It keeps load
+	// reports fresh and the loss of an agent visible within a second.
 	helloInterval = 250 * time.Millisecond
-	// targetTimeout is when an agent without reports counts as unreachable: three
-	// hellos and answers lost in a row.
-	targetTimeout = 800 * time.Millisecond
+	// helloSlack is kept for late answers: an agent becomes unreachable when three
+	// hellos or answers are lost in a row.
+	helloSlack = 50 * time.Millisecond
+	// peerInterval is the pause between hellos to balancers when nothing changes. A
+	// new configuration or agent is told at once, with tellPause between two hellos.
+	peerInterval = time.Second
+	tellPause    = 50 * time.Millisecond
+	// peerTimeout is when a silent balancer no longer counts: three hellos lost.
+	peerTimeout = 3*peerInterval + 200*time.Millisecond
 	// openTimeout is when an opening packet moves on to another target. A target
 	// answers within a millisecond, the longest way there and back takes 10 ms,
 	// and an agent that used up its share of the processor waits up to 100 ms.
@@ -64,6 +71,7 @@
 	maxHeld       = 8 // packets that wait for the answers to one ask
 	maxTried      = 6 // targets tried for one opening packet
 	maxCandidates = 128
+	maxHellos     = 120 // a second to agents; at 30 us each, 4% of the smallest VM's share
 	maxEarly      = 512
 	maxWaiting    = 1024 // opening packets that wait for a target
 )
@@ -214,18 +222,23 @@
 	started time.Time
 	random  uint64
 
-	flows   map[model.Flow]*flow
-	opens   []pendingOpen // in order of time
-	waiting []pendingOpen // opening packets without a target, in order of time
-	listing time.Time     // of the last ListAgents
-	asks    map[model.Flow]*ask
-	targets map[netip.AddrPort]*target
-	peers   map[netip.AddrPort]*peer
-	byDist  map[model.ServiceName][]*target // targets of each service, in order of address
-	hello   time.Time                       // of the last hellos
-	sweep   time.Time                       // of the last search for idle flows
-	tick    time.Time
-	leaving bool
+	flows      map[model.Flow]*flow
+	opens      []pendingOpen // in order of time
+	waiting    []pendingOpen // opening packets without a target, in order of time
+	listing    time.Time     // of the last ListAgents
+	listWanted bool          // a search waits for a listing
+	asks       map[model.Flow]*ask
+	targets    map[netip.AddrPort]*target
+	peers      map[netip.AddrPort]*peer
+	byDist     map[model.ServiceName][]*target         // targets of each service, in order of address
+	hello      time.Time                               // of the last hellos to agents
+	peerHello  time.Time                               // of the last hellos to balancers
+	tellPeers  bool                                    // an agent is new
+	questions  map[netip.AddrPort][]steerwire.Question // noted for each agent
+	questioned time.Time                               // of the last questions sent
+	sweep      time.Time                               // of the last search for idle flows
+	tick       time.Time
+	leaving    bool
 
 	early     []earlyPacket
 	returns   map[model.ServiceName]*pacing.Queue[model.Flow]
@@ -240,7 +253,7 @@
 	c := &Core{
 		o: o, started: now, tick: now, random: model.Mix(o.Seed),
 		former: make(map[netip.AddrPort][]Share), flows: make(map[model.Flow]*flow), asks: make(map[model.Flow]*ask),
-		targets: make(map[netip.AddrPort]*target), peers: make(map[netip.AddrPort]*peer),
+		targets: make(map[netip.AddrPort]*target), questions: make(map[netip.AddrPort][]steerwire.Question), peers: make(map[netip.AddrPort]*peer),
 		byDist:  make(map[model.ServiceName][]*target),
 		returns: make(map[model.ServiceName]*pacing.Queue[model.Flow]), returning: make(map[model.Flow]returning),
 	}
@@ -262,6 +275,7 @@
 	c.replayEarly(now)
 	// Peers that the store refuses learn the revision from hellos; sending them
 	// at once keeps the spread within the propagation bound.
+	c.peerHello = now
 	c.helloBalancers(now)
 	return c.actions
 }
@@ -337,7 +351,7 @@
 		if t.ever {
 			known++
 		}
-		if t.reachable(now) {
+		if c.reachable(now, t) {
 			reachable++
 		}
 	}
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -25,7 +25,9 @@
 	suspectUntil time.Time
 }
 
-func (t *target) reachable(now time.Time) bool { return t.ever && now.Sub(t.at) < targetTimeout }
+func (c *Core) reachable(now time.Time, t *target) bool {
+	return t.ever && now.Sub(t.at) < c.reportTimeout()
+}
 
 // lost reports whether the agent has been silent for longer than a restart takes.
 func (t *target) lost(now time.Time) bool {
@@ -38,11 +40,11 @@
 
 // takesFlows reports whether a new flow may go to the target. suspects admits
 // those that were silent lately.
-func (t *target) takesFlows(now time.Time, suspects bool) bool {
+func (c *Core) takesFlows(now time.Time, t *target, suspects bool) bool {
 	if !t.ever || t.report.State != steerwire.TargetReady {
 		return false
 	}
-	return suspects || t.reachable(now) && !now.Before(t.suspectUntil)
+	return suspects || c.reachable(now, t) && !now.Before(t.suspectUntil)
 }
 
 func (t *target) candidate(now time.Time, dc model.DataCentre) leastload.Candidate {
@@ -108,7 +110,9 @@
 	case steerwire.KindOpened:
 		c.opened(from, m.Opened)
 	case steerwire.KindAnswer:
-		c.answered(now, from, m.Answer)
+		for _, v := range m.Answer.Verdicts {
+			c.answered(now, from, v)
+		}
 	case steerwire.KindReport:
 		c.reported(now, from, m.Report)
 	case steerwire.KindHello:
@@ -132,11 +136,12 @@
 	old := t.report
 	if !t.ever || old.State != r.State || old.Incarnation != r.Incarnation || old.Service != r.Service {
 		c.log(Entry{Event: "target", Service: r.Service, Target: from, Reason: r.State.String(), Age: now.Sub(t.at), Detail: r.Slots})
-	} else if !t.reachable(now) {
+	} else if !c.reachable(now, t) {
 		c.log(Entry{Event: "regained", Service: r.Service, Target: from, Age: now.Sub(t.at)})
 	}
 	if !t.ever || old.Incarnation != r.Incarnation {
 		t.first = now
+		c.tellPeers = true
 	}
 	t.ever, t.report, t.at = true, r, now
 	t.report.Balancers = nil
@@ -186,7 +191,8 @@
 		return // a seed may name this balancer itself
 	}
 	p := c.notePeer(now, from, false)
-	if p.heard.IsZero() || p.incarnation != h.Incarnation {
+	isNew := p.heard.IsZero() || p.incarnation != h.Incarnation
+	if isNew {
 		c.log(Entry{Event: "balancer", Target: from, Reason: "heard", Version: int64(h.Revision)})
 	}
 	p.heard, p.incarnation, p.wantsAgents = now, h.Incarnation, h.WantAgents
@@ -194,7 +200,7 @@
 	for _, a := range h.Agents {
 		c.noteAgent(now, a)
 	}
-	if !h.Reply {
+	if !h.Reply && (isNew || h.WantAgents) {
 		c.send(from, c.helloTo(now, p, true))
 	}
 	c.wantConfig(now)
@@ -211,7 +217,7 @@
 	}
 	best := netip.AddrPort{}
 	for _, p := range c.peers {
-		if p.revision > own && now.Sub(p.heard) < targetTimeout && (!best.IsValid() || p.addr.Compare(best) < 0) {
+		if p.revision > own && now.Sub(p.heard) < peerTimeout && (!best.IsValid() || p.addr.Compare(best) < 0) {
 			best = p.addr
 		}
 	}
@@ -226,7 +232,7 @@
 	m := c.helloMessage(reply)
 	m.Hello.WantAgents = now.Sub(c.started) < startTimeout
 	for _, t := range c.targets {
-		if len(m.Hello.Agents) < steerwire.MaxPeers && t.reachable(now) && (p.wantsAgents || now.Sub(t.first) < newAgentFor) {
+		if len(m.Hello.Agents) < steerwire.MaxPeers && c.reachable(now, t) && (p.wantsAgents || now.Sub(t.first) < newAgentFor) {
 			m.Hello.Agents = append(m.Hello.Agents, t.addr)
 		}
 	}
@@ -255,26 +261,42 @@
 	c.tick = now
 	c.overdueOpens(now)
 	c.overdueAsks(now)
+	c.listAgents(now)
 	c.overdueWaiting(now)
 	c.releaseReturns(now)
-	if now.Sub(c.hello) >= helloInterval {
+	if now.Sub(c.questioned) >= askBatch {
+		c.flushQuestions(now)
+	}
+	if now.Sub(c.hello) >= c.agentInterval() {
 		c.hello = now
 		c.forgetSilent(now)
 		for _, a := range sortedKeys(c.targets) {
 			c.send(a, c.helloMessage(false))
 		}
-		c.helloBalancers(now)
 		c.wantConfig(now)
 	}
+	if since := now.Sub(c.peerHello); since >= peerInterval || c.tellPeers && since >= tellPause {
+		c.peerHello, c.tellPeers = now, false
+		c.helloBalancers(now)
+	}
 	c.forgetIdle(now)
 	return c.actions
 }
 
+// agentInterval returns the pause between hellos to the agents. It grows with
+// their number, so that the smallest VM spends little of its share on them.
+func (c *Core) agentInterval() time.Duration {
+	return max(helloInterval, time.Duration(len(c.targets))*time.Second/maxHellos)
+}
+
+// reportTimeout returns when an agent without reports counts as unreachable.
+func (c *Core) reportTimeout() time.Duration { return 3*c.agentInterval() + helloSlack }
+
 // forgetSilent drops agents and balancers that are gone.
 func (c *Core) forgetSilent(now time.Time) {
 	for _, a := range sortedKeys(c.targets) {
 		t := c.targets[a]
-		if t.ever && !t.reachable(now) && now.Sub(t.at) < targetTimeout+helloInterval {
+		if t.ever && !c.reachable(now, t) && now.Sub(t.at) < c.reportTimeout()+c.agentInterval() {
 			c.log(Entry{Event: "lost", Service: t.report.Service, Target: a, Reason: "no_report", Age: now.Sub(t.at)})
 		}
 		if !t.listed && now.Sub(t.at) > forgetAfter && now.Sub(t.noted) > forgetAfter {
@@ -291,10 +313,19 @@
 
 // Next returns when Tick has something to do.
 func (c *Core) Next() time.Time {
-	next := c.hello.Add(helloInterval)
+	next := earlier(c.hello.Add(c.agentInterval()), c.peerHello.Add(peerInterval))
+	if c.tellPeers {
+		next = earlier(next, c.peerHello.Add(tellPause))
+	}
+	if len(c.questions) > 0 {
+		next = earlier(next, c.questioned.Add(askBatch))
+	}
 	if len(c.opens) > 0 {
 		next = earlier(next, c.opens[0].at.Add(openTimeout))
 	}
+	if c.listWanted {
+		next = earlier(next, c.listing.Add(listPause))
+	}
 	if len(c.returning) > 0 {
 		next = earlier(next, c.tick.Add(returnInterval))
 	}
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -34,6 +34,8 @@
 	MaxMessage = 2048
 	// MaxPeers bounds the addresses in one message, so that it fits MaxMessage.
 	MaxPeers = 64
+	// MaxQuestions bounds the questions in one message, for the same reason.
+	MaxQuestions = 32
 )
 
 // Kind tells the messages apart.
@@ -121,14 +123,19 @@
 	Flow model.Flow `cbor:"1,keyasint"`
 }
 
-// Ask asks whether the target holds a flow.
-type Ask struct {
+// Question asks whether the target holds a flow.
+type Question struct {
 	Flow model.Flow `cbor:"1,keyasint"`
 	// Ack is the acknowledgement number of the caller's packet. It tells which of
 	// two targets that answered the opening packet the caller chose.
 	Ack uint32 `cbor:"2,keyasint,omitzero"`
 }
 
+// Ask carries at most MaxQuestions questions.
+type Ask struct {
+	Questions []Question `cbor:"1,keyasint"`
+}
+
 // Holding is an agent's knowledge of a flow.
 type Holding uint8
 
@@ -140,12 +147,17 @@
 	Unsure
 )
 
-// Answer answers an Ask.
-type Answer struct {
+// Verdict is an agent's knowledge of one flow.
+type Verdict struct {
 	Flow    model.Flow `cbor:"1,keyasint"`
 	Holding Holding    `cbor:"2,keyasint"`
 }
 
+// Answer answers an Ask, question by question.
+type Answer struct {
+	Verdicts []Verdict `cbor:"1,keyasint"`
+}
+
 // Hello tells a peer that its sender lives and asks an agent for a Report.
 type Hello struct {
 	Node        model.NodeID      `cbor:"1,keyasint"`
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -51,6 +51,7 @@
 	mu       sync.Mutex
 	counters map[string]metric.Int64Counter
 	totals   map[CounterKey]uint64
+	reasons  map[string]metric.AddOption // built once for each reason
 }
 
 // CounterKey names one count: an instrument and the reason it was raised for.
@@ -72,6 +73,7 @@
 		registry: registry,
 		counters: make(map[string]metric.Int64Counter),
 		totals:   make(map[CounterKey]uint64),
+		reasons:  make(map[string]metric.AddOption),
 	}, nil
 }
 
@@ -88,8 +90,13 @@
 		m.counters[name] = c
 	}
 	m.totals[CounterKey{Name: name, Reason: reason}] += uint64(n)
+	option, ok := m.reasons[reason]
+	if !ok {
+		option = metric.WithAttributeSet(attribute.NewSet(attribute.String("reason", reason)))
+		m.reasons[reason] = option
+	}
 	m.mu.Unlock()
-	c.Add(context.Background(), n, metric.WithAttributes(attribute.String("reason", reason)))
+	c.Add(context.Background(), n, option)
 }
 
 // Totals returns a copy of all counts.
