steer: searches go on without agents that never answered

Change: an agent that has not answered two hellos within 0.4 s of becoming known is left out of a search, though not out of the proof for a reset. An agent that is told to stop asks its target's health and removes its object if nothing listens.

Test: TestSearchGoesOnWithoutDeadAgents failed first.

Objects of dead VMs stay listed; removal by balancers is open.

--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -44,7 +44,7 @@
 	ReturnPort uint16           // UDP port of callers
 	Seeds      []netip.AddrPort // peer addresses of balancers
 	Store      *storeclient.Client
-	// CheckTarget asks the target for its health, once at a later start.
+	// CheckTarget asks the target for its health, at a later start and at the end.
 	CheckTarget func(ctx context.Context) (passthrough.Health, error)
 	Metrics     *telemetry.Metrics
 	Logger      *log.Logger
@@ -137,22 +137,36 @@
 }
 
 // leave sends new flows elsewhere and goes on with open ones for a moment. The
-// object of an agent whose target ended is removed.
+// object of an agent whose target ended or crashed is removed, so that balancers
+// that start later do not wait for it.
 func (a *Agent) leave(ctx context.Context, cause error) error {
+	var state steerwire.TargetState
 	if err := a.loop.do(ctx, func(now time.Time) {
-		a.logs.put(now, "stopping", "cause", cause, "flows", a.core.Flows(), "target_state", a.core.State().String())
+		state = a.core.State()
+		a.logs.put(now, "stopping", "cause", cause, "flows", a.core.Flows(), "target_state", state.String())
 		a.perform(now, a.core.Leave(now))
 	}); err != nil {
 		return nil // the process is killed
 	}
-	select {
-	case <-ctx.Done():
-	case <-a.gone:
+	ended := state == steerwire.TargetGone
+	if !ended {
+		bounded, cancel := context.WithTimeout(ctx, stopAfter)
+		health, err := a.o.CheckTarget(bounded)
+		cancel()
+		ended = health == passthrough.NotRunning
+		a.say(ctx, "health_check", "healthy", health == passthrough.Healthy, "running", !ended, "err", errText(err))
+	}
+	if ended {
 		bounded, cancel := context.WithTimeout(ctx, unregisterTimeout)
 		defer cancel()
 		if _, err := a.o.Store.Delete(bounded, a.objectPath(), a.version.Load()); err != nil {
 			a.o.Metrics.Count(CounterRegister, "remove_failed", 1) // balancers drop silent agents anyway
 		}
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-a.gone:
 	case <-time.After(stopAfter):
 	}
 	return nil
--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -146,7 +146,7 @@
 
 // conclude ends an ask without a holder.
 func (c *Core) conclude(now time.Time, key model.Flow, a *ask) {
-	if len(a.packets) > 0 && !c.askedAll(now, a) {
+	if len(a.packets) > 0 && !c.askedAll(now, a, silentAfter) {
 		a.again = true // an agent that was not asked may hold the flow
 		return
 	}
@@ -246,15 +246,18 @@
 // that may hold it was asked and is certain. An agent that reported since the
 // question may be the holder.
 func (c *Core) proves(now time.Time, a *ask) bool {
-	return a.certain && c.agentsComplete(now) && c.askedAll(now, a)
+	return a.certain && c.agentsComplete(now) && c.askedAll(now, a, lostAfter)
 }
 
 // askedAll reports whether all agents that may hold the flow were asked. One that
-// is known and has not reported yet may hold it too.
-func (c *Core) askedAll(now time.Time, a *ask) bool {
+// is known and has not reported yet may hold it too, until it has been silent for
+// the given time.
+func (c *Core) askedAll(now time.Time, a *ask, silent time.Duration) bool {
 	for _, t := range c.targets {
-		_, found := slices.BinarySearchFunc(a.asked, t.addr, netip.AddrPort.Compare)
-		if !t.lost(now) && !found {
+		if t.lost(now) || !t.ever && now.Sub(t.noted) >= silent {
+			continue
+		}
+		if _, found := slices.BinarySearchFunc(a.asked, t.addr, netip.AddrPort.Compare); !found {
 			return false
 		}
 	}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -60,6 +60,10 @@
 	// holder of flows: longer than any planned restart takes. Whether its target
 	// lives or not, packets do not reach it from here.
 	lostAfter = 2500 * time.Millisecond
+	// silentAfter is when a search goes on without a known agent that has never
+	// answered: two hellos, and the start of an agent. The store lists agents whose VMs
+	// died until their addresses are used again, and callers would wait lostAfter.
+	silentAfter = 400 * time.Millisecond
 	// listPause bounds the listings of the store that decide on resets.
 	listPause = 100 * time.Millisecond
 )
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -303,6 +303,22 @@
 	is.Equal(sent(answer(c, ms(53), agentB, flowOf(1), steerwire.Held)), []netip.AddrPort{agentB})
 }
 
+// Guards against searches that wait 2.5 s after each start for agents whose VMs
+// died: on trouble-3 of podas-edge worth fell from 0.848 to 0.762.
+func TestSearchGoesOnWithoutDeadAgents(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA, agentB, agentC)
+	ready(c, start, 1, agentA, agentB)
+	c.Packet(start, data(1), raw)
+	answer(c, ms(1), agentA, flowOf(1), steerwire.Unsure)
+	is.Equal(len(sent(answer(c, ms(2), agentB, flowOf(1), steerwire.Unsure))), 0)
+	ready(c, ms(390), 2, agentA, agentB)
+	is.Equal(askedSoon(c, ms(410), c.Tick(ms(410))), 2)
+	answer(c, ms(421), agentA, flowOf(1), steerwire.Unsure)
+	got := sent(answer(c, ms(422), agentB, flowOf(1), steerwire.Unsure))
+	is.Equal(got, []netip.AddrPort{agentA})
+}
+
 // Guards against the same fault where the store is away.
 func TestNoTimedResetBeforeEveryAgentWasAsked(t *testing.T) {
 	is := is.New(t)
