--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -371,7 +371,12 @@
 // Flows returns the number of flows known.
 func (c *Core) Flows() int { return len(c.flows) }
 
-func (c *Core) log(e Entry) { c.actions = append(c.actions, Action{Kind: Log, Entry: e}) }
+func (c *Core) log(e Entry) {
+	if e.Version == 0 {
+		e.Version = c.version()
+	}
+	c.actions = append(c.actions, Action{Kind: Log, Entry: e})
+}
 
 func (c *Core) count(name, reason string) {
 	c.actions = append(c.actions, Action{Kind: Count, Counter: Counter{name, reason}})
