steer: remove the objects of agents that are gone

Cause: the object of an agent whose VM died stayed in the store until its address was used again, so the list grew and each balancer start waited 0.4 s for it. Change: the balancer with the lowest address removes objects of agents silent for a minute, the longest life of a flow, while it hears most agents; an agent that heard no balancer for 30 s writes its object again before its target takes flows. Tests: TestObjectsOfDeadAgentsAreRemoved, TestAgentRegistersAgainAfterALoss.

--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -61,12 +60,13 @@
 	out     []byte
 	heard   atomic.Bool // a balancer said hello
 	gone    chan struct{}
+	again   chan struct{} // the agent's object may be gone
 	version atomic.Uint64 // of the agent's object in the store
 }
 
 // NewAgent binds the sockets.
 func NewAgent(o AgentOptions) (*Agent, error) {
-	a := &Agent{o: o, logs: newLogs(o.Logger), gone: make(chan struct{})}
+	a := &Agent{o: o, logs: newLogs(o.Logger), gone: make(chan struct{}), again: make(chan struct{}, 1)}
 	a.loop = newLoop(o.Metrics, a.logs)
 	a.loop.datagram, a.loop.next = a.datagram, func() time.Time { return a.core.Next() }
 	a.loop.tick = func(now time.Time) { a.perform(now, a.core.Tick(now)) }
@@ -159,7 +159,7 @@
 	if ended {
 		bounded, cancel := context.WithTimeout(ctx, unregisterTimeout)
 		defer cancel()
-		if _, err := a.o.Store.Delete(bounded, a.objectPath(), a.version.Load()); err != nil {
+		if _, err := a.o.Store.Delete(bounded, agentPath(a.o.PeerAddr), a.version.Load()); err != nil {
 			a.o.Metrics.Count(CounterRegister, "remove_failed", 1) // balancers drop silent agents anyway
 		}
 		return nil
@@ -175,21 +175,31 @@
 // CounterRegister counts writes of the agent's object by outcome.
 const CounterRegister = "passnode_registrations"
 
-func (a *Agent) objectPath() string {
-	return agentsPrefix + strings.ReplaceAll(a.o.PeerAddr.String(), ":", "-")
+// register keeps the agent's object in the store.
+func (a *Agent) register(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := a.write(ctx); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+		case <-a.again:
+		}
+	}
+	return nil
 }
 
-// register writes the agent's object until it is in the store.
-func (a *Agent) register(ctx context.Context) error {
+// write writes the agent's object until it is in the store.
+func (a *Agent) write(ctx context.Context) error {
 	content, err := json.Marshal(agentObject{Peer: a.o.PeerAddr, Incarnation: a.o.Core.Incarnation})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	for ctx.Err() == nil {
-		w, err := a.o.Store.Create(ctx, a.objectPath(), content)
+		w, err := a.o.Store.Create(ctx, agentPath(a.o.PeerAddr), content)
 		var present *storeclient.Error
 		if errors.As(err, &present) && present.Kind == storeclient.Conflict {
-			w, err = a.o.Store.Update(ctx, a.objectPath(), present.Version, content)
+			w, err = a.o.Store.Update(ctx, agentPath(a.o.PeerAddr), present.Version, content)
 		}
 		if err == nil {
 			a.version.Store(w.Version)
@@ -279,6 +289,11 @@
 			a.sent("caller", a.local.write(x.Packet, netip.AddrPortFrom(x.Flow.Src.Addr(), a.o.ReturnPort)))
 		case passthrough.SendMessage:
 			a.sendMessage(x.To, x.Message)
+		case passthrough.Register:
+			select {
+			case a.again <- struct{}{}:
+			default: // it is being written
+			}
 		case passthrough.ClearBounced:
 			a.o.Codec.ClearBounced(x.Packet)
 		case passthrough.Count:
--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,11 @@
 	Incarnation model.Incarnation `json:"incarnation"`
 }
 
+// agentPath returns the path of an agent's object.
+func agentPath(peer netip.AddrPort) string {
+	return agentsPrefix + strings.ReplaceAll(peer.String(), ":", "-")
+}
+
 // BalancerOptions configure a balancer.
 type BalancerOptions struct {
 	Core       steer.Options
@@ -76,11 +82,14 @@
 	config atomic.Pointer[sharedConfig]
 	fetch  chan netip.AddrPort
 	list   chan struct{} // a listing that is not old is wanted
+	remove chan netip.AddrPort
+	// versions are those of the agents' objects; the listing's goroutine owns them.
+	versions map[netip.AddrPort]uint64
 }
 
 // NewBalancer binds the sockets.
 func NewBalancer(o BalancerOptions) (*Balancer, error) {
-	b := &Balancer{o: o, logs: newLogs(o.Logger), fetch: make(chan netip.AddrPort, 1), list: make(chan struct{}, 1)}
+	b := &Balancer{o: o, logs: newLogs(o.Logger), fetch: make(chan netip.AddrPort, 1), list: make(chan struct{}, 1), remove: make(chan netip.AddrPort, callQueue)}
 	b.loop = newLoop(o.Metrics, b.logs)
 	b.loop.datagram, b.loop.tick, b.loop.next = b.datagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -221,6 +230,11 @@
 			case b.list <- struct{}{}:
 			default: // one is under way
 			}
+		case steer.RemoveAgent:
+			select {
+			case b.remove <- a.To:
+			default: // a later look finds it again
+			}
 		case steer.Count:
 			b.o.Metrics.Count(a.Counter.Name, a.Counter.Reason, 1)
 		case steer.Log:
@@ -339,6 +353,11 @@
 			fresh = !found
 		case <-b.list:
 			fresh = true
+		case a := <-b.remove:
+			fresh = false
+			if _, err := b.o.Store.Delete(ctx, agentPath(a), b.versions[a]); err != nil {
+				b.o.Metrics.Count(CounterRegister, "remove_failed", 1) // a later look finds it again
+			}
 		}
 	}
 	return nil
@@ -356,6 +375,7 @@
 		return nil, err
 	}
 	var addrs []netip.AddrPort
+	b.versions = make(map[netip.AddrPort]uint64, len(l.Objects))
 	for _, o := range l.Objects {
 		var a agentObject
 		if json.Unmarshal(o.Content, &a) != nil || !a.Peer.IsValid() {
@@ -363,6 +383,7 @@
 			continue
 		}
 		addrs = append(addrs, a.Peer)
+		b.versions[a.Peer] = o.Version
 	}
 	return addrs, nil
 }
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -42,6 +42,9 @@
 	// first hello before it takes flows: balancers tell each other of it with their
 	// next hellos, one of which may be lost.
 	unlistedDelay = 2 * 250 * time.Millisecond
+	// registerAfter is how long all balancers must have been silent for the agent to
+	// write its object again: half of the time after which they remove it.
+	registerAfter = 30 * time.Second
 	// sweepInterval is the pause between searches for idle flows.
 	sweepInterval = time.Second
 	// endedTTL is how long a flow with a reset or an end in both directions is
@@ -78,6 +81,8 @@
 	ToCaller
 	// SendMessage sends Message to the peer at To.
 	SendMessage
+	// Register writes the agent's object to the store again.
+	Register
 	// ClearBounced makes Packet deliverable before the actions that follow.
 	ClearBounced
 	// Log records a decision.
@@ -206,6 +211,7 @@
 	leaving      bool
 	listed       bool      // the agent's object is in the store
 	hello        time.Time // first hello of a balancer
+	contact      time.Time // last hello of any balancer
 	admitted     bool      // balancers were told that the agent takes flows
 
 	flows     map[model.Flow]*flow
@@ -410,10 +416,8 @@
 		if _, ok := c.balancers[from]; !ok {
 			c.log(Entry{Event: "balancer_heard", Reason: from.String()})
 		}
+		c.contacted(now)
 		c.balancers[from] = now
-		if c.hello.IsZero() {
-			c.hello = now
-		}
 		c.sequence++
 		c.send(from, steerwire.Message{Kind: steerwire.KindReport, Report: c.report(now)})
 	default:
@@ -449,6 +453,19 @@
 	}
 }
 
+// contacted notes the hello of a balancer. In a long loss of all balancers they
+// may have removed the agent's object, so it is written again.
+func (c *Core) contacted(now time.Time) {
+	if c.hello.IsZero() {
+		c.hello = now
+	} else if now.Sub(c.contact) >= registerAfter && c.listed {
+		c.hello, c.listed, c.admitted = now, false, false
+		c.log(Entry{Event: "registering", Reason: "balancers_back", Age: now.Sub(c.contact)})
+		c.actions = append(c.actions, Action{Kind: Register})
+	}
+	c.contact = now
+}
+
 func (c *Core) knownBalancers() []netip.AddrPort {
 	out := make([]netip.AddrPort, 0, len(c.balancers))
 	for a := range c.balancers {
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -373,3 +373,19 @@
 	c.Heard(ms(700), beat(2))
 	is.Equal(delivered(forward(c, ms(701), syn(4))), 1)
 }
+
+// Guards against an agent that was cut off for long and whose object is gone: it
+// must be in the store again before its target takes flows.
+func TestAgentRegistersAgainAfterALoss(t *testing.T) {
+	is := is.New(t)
+	c := ready()
+	c.Heard(ms(40_001), beat(2))
+	again := false
+	for _, a := range c.Message(ms(40_002), balancer, steerwire.Message{Kind: steerwire.KindHello}, segment.Segment{}) {
+		again = again || a.Kind == Register
+	}
+	is.True(again)
+	is.Equal(refusal(forward(c, ms(40_003), syn(1))), steerwire.ReasonUnready)
+	c.Listed(ms(40_010))
+	is.Equal(delivered(forward(c, ms(40_011), syn(1))), 1)
+}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -47,6 +47,9 @@
 	// forgetAfter is when an unreachable agent that the store does not list is
 	// dropped, and a balancer that is silent.
 	forgetAfter = 5 * time.Second
+	// removeAfter is when the object of an agent without reports is removed from the
+	// store: the longest life of a flow, so that no flow of it is left.
+	removeAfter = time.Minute
 	// startTimeout is when a balancer that still has no agent becomes ready.
 	startTimeout = 2 * time.Second
 	// holdTimeout is how long an opening packet waits for a target when the
@@ -86,6 +89,7 @@
 	Incarnation model.Incarnation
 	DataCentre  model.DataCentre
 	Seed        uint64
+	Peer        netip.AddrPort   // own peer address
 	Seeds       []netip.AddrPort // peer addresses of balancers
 	FlowTTL     time.Duration    // after which a flow may be forgotten
 }
@@ -103,6 +107,8 @@
 	ResetCaller
 	// ListAgents asks for a listing of the agents that is not older than the request.
 	ListAgents
+	// RemoveAgent asks to remove the object of the agent at To, which is gone.
+	RemoveAgent
 	// FetchConfig asks the balancer at To for its configuration.
 	FetchConfig
 	// Log records a decision.
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -411,3 +411,33 @@
 	is.True(n > 900 && n < 1100)
 	is.Equal(Route{}.service(1), model.ServiceName(""))
 }
+
+// Guards against a list of agents that grows with every VM that dies, against the
+// removal of an agent that is only restarting, and against two balancers at it.
+func TestObjectsOfDeadAgentsAreRemoved(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA, agentB, agentC)
+	ready(c, start, 1, agentA, agentB, agentC)
+	seq := uint64(1)
+	removed := func(until time.Duration) (out []netip.AddrPort) {
+		for now := start.Add(time.Duration(seq) * time.Second); !now.After(start.Add(until)); now = now.Add(time.Second) {
+			seq++
+			ready(c, now, seq, agentA, agentC)
+			for _, a := range c.Tick(now) {
+				if a.Kind == RemoveAgent {
+					out = append(out, a.To)
+				}
+			}
+		}
+		return out
+	}
+	is.Equal(len(removed(59*time.Second)), 0)
+	is.Equal(removed(62*time.Second), []netip.AddrPort{agentB})
+
+	c, seq = newCore(agentA, agentB, agentC), 1
+	c.o.Peer = peerP
+	ready(c, start, 1, agentA, agentB, agentC)
+	is.Equal(len(removed(55*time.Second)), 0)
+	c.Message(at(61*time.Second), netip.MustParseAddrPort("10.0.0.1:7000"), steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: "b0", Incarnation: 1}}, segment.Segment{})
+	is.Equal(len(removed(63*time.Second)), 0) // another balancer has a lower address
+}
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -304,6 +304,7 @@
 			c.index()
 		}
 	}
+	c.removeDead(now)
 	for _, a := range sortedKeys(c.peers) {
 		if p := c.peers[a]; !p.seed && now.Sub(p.noted) > forgetAfter && now.Sub(p.heard) > forgetAfter {
 			delete(c.peers, a)
@@ -311,6 +312,27 @@
 	}
 }
 
+// removeDead removes the objects of agents that have been silent for long. Only the
+// balancer with the lowest address does so, and only while it hears most agents.
+func (c *Core) removeDead(now time.Time) {
+	for a, p := range c.peers {
+		if now.Sub(p.heard) < peerTimeout && a.Compare(c.o.Peer) < 0 {
+			return
+		}
+	}
+	if now.Sub(c.started) < removeAfter || !c.agentsComplete(now) {
+		return
+	}
+	for _, a := range sortedKeys(c.targets) {
+		t := c.targets[a]
+		if t.listed && now.Sub(t.at) >= removeAfter && now.Sub(t.noted) >= removeAfter {
+			c.log(Entry{Event: "agent_removed", Service: t.report.Service, Target: a, Reason: "no_report", Age: now.Sub(t.at)})
+			c.actions = append(c.actions, Action{Kind: RemoveAgent, To: a})
+			t.listed = false // the next listing tells whether the store did it
+		}
+	}
+}
+
 // Next returns when Tick has something to do.
 func (c *Core) Next() time.Time {
 	next := earlier(c.hello.Add(c.agentInterval()), c.peerHello.Add(peerInterval))
