steer: an agent that one balancer lost may hold flows; uploads take no slot on their way

Ruled out: a holder that forgot the flow (its entry lives for a minute), a bounced packet.

Change: balancers tell each other which agents they lost; only one that all lost is left out. A request of several packets takes a slot when its last packet came, and is never kept.

Tests: TestAgentLostHereOnlyMayHoldFlows, TestTransfersTakeNoSlot, failed first.

--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -100,7 +100,8 @@
 func (c *Core) fromCaller(now time.Time, f *flow, s segment.Segment) {
 	if f.isNew(s) {
 		f.nextSeq = s.Seq + uint32(s.DataLen)
-		if !f.busy {
+		f.transfer = s.DataLen >= c.o.FullSegment
+		if !f.busy && !f.transfer {
 			f.busy, f.since = true, now
 			c.load.add(now, 1)
 		}
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -67,6 +67,9 @@
 	Service     model.ServiceName
 	Heartbeat   time.Duration // interval of the target's heartbeats
 	FlowIdle    time.Duration // after which a flow without packets is forgotten
+	// FullSegment is the most data that a packet carries. A request goes on after a
+	// full packet and is whole with one that is not; until then it takes no slot.
+	FullSegment int
 	FirstStart  bool          // the deployment starts for the first time, so the target holds no flows
 }
 
@@ -142,6 +145,7 @@
 	lastSeen time.Time
 	nextSeq  uint32 // end of the caller's data seen so far
 	busy     bool   // a request was sent and its answer has not begun
+	transfer bool   // a request of several packets is on its way and takes no slot yet
 	finIn    bool
 	finOut   bool
 	ended    bool
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	clientSeq = 100
+	clientSeq   = 100
+	fullSegment = 1200
 	targetSeq = 500
 )
 
@@ -32,7 +33,7 @@
 func newCore(first bool) *Core {
 	c := New(start, Options{
 		Node: "a1", Incarnation: model.Incarnation(start.UnixMilli()), Service: "alpha",
-		Heartbeat: time.Second, FlowIdle: time.Minute, FirstStart: first,
+		Heartbeat: time.Second, FlowIdle: time.Minute, FirstStart: first, FullSegment: fullSegment,
 	})
 	c.Listed(start)
 	return c
@@ -389,3 +390,22 @@
 	c.Listed(ms(40_010))
 	is.Equal(delivered(forward(c, ms(40_011), syn(1))), 1)
 }
+
+// Guards against uploads that fill the slots while they are on their way: at three
+// slow uploads a target of two slots took no other request.
+func TestTransfersTakeNoSlot(t *testing.T) {
+	is := is.New(t)
+	c := ready()
+	for port := uint16(1); port <= 9; port++ {
+		forward(c, start, syn(port))
+		c.FromTarget(start, synAck(port), nil)
+		part := request(port)
+		part.DataLen = fullSegment
+		is.Equal(delivered(forward(c, start, part)), 1)
+	}
+	is.Equal(c.load.busy, 0)
+	last := request(1)
+	last.Seq += fullSegment
+	is.Equal(delivered(forward(c, start, last)), 1) // the last packet is never kept
+	is.Equal(c.load.busy, 1)
+}
--- a/internal/passthrough/requests.go
+++ b/internal/passthrough/requests.go
@@ -43,7 +43,7 @@
 	case f.kept != nil && s.DataLen == 0:
 		return false
 	case f.kept != nil:
-	case f.busy || !f.isNew(s) || c.load.busy < c.target.Slots+spareRequests:
+	case f.busy || f.transfer || s.DataLen >= c.o.FullSegment || !f.isNew(s) || c.load.busy < c.target.Slots+spareRequests:
 		return false
 	default:
 		c.queue.Add(schedule.Request{
--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -72,7 +72,7 @@
 func (c *Core) possibleHolders(now time.Time) []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, t := range c.targets {
-		if t.ever && !t.lost(now) {
+		if t.ever && !c.gone(now, t) {
 			out = append(out, t.addr)
 		}
 	}
@@ -254,7 +254,7 @@
 // the given time.
 func (c *Core) askedAll(now time.Time, a *ask, silent time.Duration) bool {
 	for _, t := range c.targets {
-		if t.lost(now) || !t.ever && now.Sub(t.noted) >= silent {
+		if !t.ever && now.Sub(t.noted) >= silent || c.gone(now, t) {
 			continue
 		}
 		if _, found := slices.BinarySearchFunc(a.asked, t.addr, netip.AddrPort.Compare); !found {
@@ -265,21 +265,21 @@
 }
 
 // agentsComplete reports whether the agents known are enough to tell that nobody
-// holds a flow: all of them have reported or are lost, and no more are
-// lost than are there, so that this balancer is not the one cut off.
+// holds a flow: each has reported lately or is gone, and no more are gone than are
+// there.
 func (c *Core) agentsComplete(now time.Time) bool {
-	reachable, lost := 0, 0
+	reachable, gone := 0, 0
 	for _, t := range c.targets {
 		switch {
-		case c.reachable(now, t):
-			reachable++
-		case t.lost(now):
-			lost++
-		case !t.ever:
+		case c.gone(now, t):
+			gone++
+		case !t.ever || t.lost(now):
 			return false
+		default:
+			reachable++
 		}
 	}
-	return reachable > lost
+	return reachable > gone
 }
 
 // overdueAsks repeats or ends asks without all answers.
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -174,7 +174,7 @@
 func (c *Core) following(now time.Time, s segment.Segment, raw []byte) {
 	f := c.flows[s.Flow]
 	if f != nil {
-		if t := c.targets[f.target]; t == nil || t.lost(now) {
+		if t := c.targets[f.target]; t == nil || c.gone(now, t) {
 			delete(c.flows, s.Flow) // the flow may have been found elsewhere, or is over
 			f = nil
 		}
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -441,3 +441,26 @@
 	c.Message(at(61*time.Second), netip.MustParseAddrPort("10.0.0.1:7000"), steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: "b0", Incarnation: 1}}, segment.Segment{})
 	is.Equal(len(removed(63*time.Second)), 0) // another balancer has a lower address
 }
+
+// Guards against the reset of open flows by a balancer whose own link is full: on
+// scale-2 of podas-edge-grown a balancer with 10 Mbit/s lost agents that others heard.
+func TestAgentLostHereOnlyMayHoldFlows(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA, agentB, agentC)
+	ready(c, start, 1, agentA, agentB, agentC)
+	peer := func(now time.Time, lost ...netip.AddrPort) {
+		c.Message(now, peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: "b2", Incarnation: 1, Lost: lost}}, segment.Segment{})
+	}
+	search := func(now time.Time, seq uint64, port uint16) bool {
+		ready(c, now, seq, agentA, agentC)
+		c.Packet(now, data(port), raw)
+		c.Tick(now.Add(askBatch))
+		answer(c, now.Add(11*time.Millisecond), agentA, flowOf(port), steerwire.NotHeld)
+		answer(c, now.Add(12*time.Millisecond), agentC, flowOf(port), steerwire.NotHeld)
+		return has(c.SetAgents(now.Add(30*time.Millisecond), []netip.AddrPort{agentA, agentB, agentC}, now.Add(time.Millisecond)), ResetCaller)
+	}
+	peer(ms(3000))
+	is.True(!search(ms(3001), 2, 1)) // the peer hears B
+	peer(ms(4000), agentB)
+	is.True(search(ms(4001), 3, 2)) // all have lost it
+}
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -38,6 +38,26 @@
 	return now.Sub(last) >= lostAfter
 }
 
+// gone reports whether the agent is lost to all balancers. An agent that only this
+// one has lost may hold flows that other balancers reach: the own link may be full.
+func (c *Core) gone(now time.Time, t *target) bool {
+	if !t.lost(now) {
+		return false
+	}
+	heard, live := false, false
+	for _, p := range c.peers {
+		heard = heard || !p.heard.IsZero()
+		if now.Sub(p.heard) >= peerTimeout {
+			continue
+		}
+		live = true
+		if !slices.Contains(p.lost, t.addr) {
+			return false
+		}
+	}
+	return live || !heard
+}
+
 // takesFlows reports whether a new flow may go to the target. suspects admits
 // those that were silent lately.
 func (c *Core) takesFlows(now time.Time, t *target, suspects bool) bool {
@@ -63,6 +83,7 @@
 	revision    uint64
 	wantsAgents bool
 	seed        bool
+	lost        []netip.AddrPort // agents that it has lost
 }
 
 // SetAgents takes the addresses of the agents that the store lists. asOf is a
@@ -197,6 +218,7 @@
 	}
 	p.heard, p.incarnation, p.wantsAgents = now, h.Incarnation, h.WantAgents
 	p.revision = max(p.revision, h.Revision)
+	p.lost = h.Lost
 	for _, a := range h.Agents {
 		c.noteAgent(now, a)
 	}
@@ -232,6 +254,9 @@
 	m := c.helloMessage(reply)
 	m.Hello.WantAgents = now.Sub(c.started) < startTimeout
 	for _, t := range c.targets {
+		if t.lost(now) && len(m.Hello.Lost) < steerwire.MaxPeers {
+			m.Hello.Lost = append(m.Hello.Lost, t.addr)
+		}
 		if len(m.Hello.Agents) < steerwire.MaxPeers && c.reachable(now, t) && (p.wantsAgents || now.Sub(t.first) < newAgentFor) {
 			m.Hello.Agents = append(m.Hello.Agents, t.addr)
 		}
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -344,7 +344,7 @@
 	s := a.s
 	a.core = passthrough.New(s.now, passthrough.Options{
 		Node: model.NodeID("a" + a.addr.String()), Incarnation: model.Incarnation(s.now.UnixMilli()), DataCentre: dc(a.addr),
-		Service: a.target.service, Heartbeat: heartbeat, FlowIdle: time.Minute, FirstStart: first,
+		Service: a.target.service, Heartbeat: heartbeat, FlowIdle: time.Minute, FirstStart: first, FullSegment: 1200,
 	})
 	a.tick(a.core)
 	if core := a.core; a.listed {
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -170,6 +170,9 @@
 	// WantAgents asks for all agents, from a balancer that started.
 	WantAgents bool `cbor:"5,keyasint,omitzero"`
 	Reply      bool `cbor:"6,keyasint,omitzero"` // answers a Hello; is not answered
+	// Lost are agents that the sender has not heard for long, for other balancers:
+	// what all of them lost is gone, what one lost may be its own fault.
+	Lost []netip.AddrPort `cbor:"7,keyasint,omitempty"`
 }
 
 // TargetState is what an agent says of its target.
