--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -57,7 +57,7 @@
 	logs    *logs
 	peers   *socket
 	local   *socket
-	out     []byte
+	out     sender
 	heard   atomic.Bool // a balancer said hello
 	gone    chan struct{}
 	again   chan struct{} // the agent's object may be gone
@@ -66,7 +66,7 @@
 
 // NewAgent binds the sockets.
 func NewAgent(o AgentOptions) (*Agent, error) {
-	a := &Agent{o: o, logs: newLogs(o.Logger), gone: make(chan struct{}), again: make(chan struct{}, 1)}
+	a := &Agent{o: o, logs: newLogs(o.Logger), out: sender{metrics: o.Metrics}, gone: make(chan struct{}), again: make(chan struct{}, 1)}
 	a.loop = newLoop(o.Metrics, a.logs)
 	a.loop.datagram, a.loop.next = a.datagram, func() time.Time { return a.core.Next() }
 	a.loop.tick = func(now time.Time) { a.perform(now, a.core.Tick(now)) }
@@ -227,7 +227,7 @@
 		_ = a.loop.do(ctx, func(now time.Time) { // fails only when the process stops
 			r := a.core.Report(now)
 			for _, s := range a.o.Seeds {
-				a.sendMessage(s, steerwire.Message{Kind: steerwire.KindReport, Report: r})
+				a.out.message(a.peers, s, steerwire.Message{Kind: steerwire.KindReport, Report: r})
 			}
 		})
 		select {
@@ -284,11 +284,11 @@
 	for _, x := range actions {
 		switch x.Kind {
 		case passthrough.Deliver:
-			a.sent("deliver", a.local.write(x.Packet, a.o.TargetAddr))
+			a.out.sent("deliver", a.local.write(x.Packet, a.o.TargetAddr))
 		case passthrough.ToCaller:
-			a.sent("caller", a.local.write(x.Packet, netip.AddrPortFrom(x.Flow.Src.Addr(), a.o.ReturnPort)))
+			a.out.sent("caller", a.local.write(x.Packet, netip.AddrPortFrom(x.Flow.Src.Addr(), a.o.ReturnPort)))
 		case passthrough.SendMessage:
-			a.sendMessage(x.To, x.Message)
+			a.out.message(a.peers, x.To, x.Message)
 		case passthrough.Register:
 			select {
 			case a.again <- struct{}{}:
@@ -304,34 +304,12 @@
 	}
 }
 
-func (a *Agent) sendMessage(to netip.AddrPort, m steerwire.Message) {
-	out, err := steerwire.Append(a.out[:0], m)
-	if err == nil {
-		a.out = out
-		err = a.peers.write(out, to)
-	}
-	a.sent("message", err)
-}
-
-func (a *Agent) sent(kind string, err error) {
-	if err != nil {
-		a.o.Metrics.Count(CounterSend, kind, 1)
-	}
-}
-
 func (a *Agent) logEntry(now time.Time, e passthrough.Entry) {
-	args := make([]any, 0, 12)
-	if e.Flow.Src.IsValid() {
-		args = append(args, "flow", e.Flow.Src.String()+">"+e.Flow.Dst.String())
-	}
-	if e.Target != "" {
-		args = append(args, "target", e.Target)
-	}
-	if e.Reason != "" {
-		args = append(args, "reason", e.Reason)
-	}
-	if e.Age > 0 && e.Age < time.Hour {
-		args = append(args, "age_ms", e.Age.Milliseconds())
-	}
-	a.logs.put(now, e.Event, append(args, "sequence", e.Sequence)...)
+	f := make(fields, 0, 12)
+	f.flow(e.Flow)
+	f.text("target", e.Target)
+	f.text("reason", e.Reason)
+	f.age(e.Age)
+	f.add("sequence", e.Sequence)
+	a.logs.put(now, e.Event, f...)
 }
--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -77,7 +77,7 @@
 	logs   *logs
 	fabric *socket
 	peers  *socket
-	out    []byte
+	out    sender
 	ready  atomic.Pointer[string] // reason why not ready, empty if it is
 	config atomic.Pointer[sharedConfig]
 	fetch  chan netip.AddrPort
@@ -89,7 +89,7 @@
 
 // NewBalancer binds the sockets.
 func NewBalancer(o BalancerOptions) (*Balancer, error) {
-	b := &Balancer{o: o, logs: newLogs(o.Logger), fetch: make(chan netip.AddrPort, 1), list: make(chan struct{}, 1), remove: make(chan netip.AddrPort, callQueue)}
+	b := &Balancer{o: o, logs: newLogs(o.Logger), out: sender{metrics: o.Metrics}, fetch: make(chan netip.AddrPort, 1), list: make(chan struct{}, 1), remove: make(chan netip.AddrPort, callQueue)}
 	b.loop = newLoop(o.Metrics, b.logs)
 	b.loop.datagram, b.loop.tick, b.loop.next = b.datagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -198,28 +198,17 @@
 	}
 }
 
-// CounterMalformed counts datagrams that could not be read.
-const CounterMalformed = "passnode_datagrams_malformed"
-
-// CounterSend counts datagrams that the kernel did not take.
-const CounterSend = "passnode_sends_failed"
-
 func (b *Balancer) perform(now time.Time, actions []steer.Action) {
 	for _, a := range actions {
 		switch a.Kind {
 		case steer.SendForward:
-			b.out = steerwire.AppendForward(b.out[:0], steerwire.Forward{Hinted: a.Hinted, Service: a.Service, Terms: a.Terms, Packet: a.Packet})
-			b.sent("forward", b.peers.write(b.out, a.To))
+			b.out.buf = steerwire.AppendForward(b.out.buf[:0], steerwire.Forward{Hinted: a.Hinted, Service: a.Service, Terms: a.Terms, Packet: a.Packet})
+			b.out.sent("forward", b.peers.write(b.out.buf, a.To))
 		case steer.SendMessage:
-			out, err := steerwire.Append(b.out[:0], a.Message)
-			if err == nil {
-				b.out = out
-				err = b.peers.write(out, a.To)
-			}
-			b.sent("message", err)
+			b.out.message(b.peers, a.To, a.Message)
 		case steer.ResetCaller:
-			b.out = b.o.Codec.Reset(b.out[:0], a.Flow, a.Ack)
-			b.sent("reset", b.fabric.write(b.out, netip.AddrPortFrom(a.Flow.Src.Addr(), b.o.ReturnPort)))
+			b.out.buf = b.o.Codec.Reset(b.out.buf[:0], a.Flow, a.Ack)
+			b.out.sent("reset", b.fabric.write(b.out.buf, netip.AddrPortFrom(a.Flow.Src.Addr(), b.o.ReturnPort)))
 		case steer.FetchConfig:
 			select {
 			case b.fetch <- a.To:
@@ -243,30 +232,18 @@
 	}
 }
 
-func (b *Balancer) sent(kind string, err error) {
-	if err != nil {
-		b.o.Metrics.Count(CounterSend, kind, 1)
-	}
-}
-
 func (b *Balancer) logEntry(now time.Time, e steer.Entry) {
-	args := make([]any, 0, 16)
-	if e.Flow.Src.IsValid() {
-		args = append(args, "flow", e.Flow.Src.String()+">"+e.Flow.Dst.String())
-	}
-	if e.Service != "" {
-		args = append(args, "service", e.Service)
-	}
+	f := make(fields, 0, 16)
+	f.flow(e.Flow)
+	f.text("service", string(e.Service))
 	if e.Target.IsValid() {
-		args = append(args, "target", e.Target.String())
-	}
-	if e.Reason != "" {
-		args = append(args, "reason", e.Reason)
-	}
-	if e.Age > 0 && e.Age < time.Hour {
-		args = append(args, "age_ms", e.Age.Milliseconds())
+		f.add("target", e.Target.String())
 	}
-	b.logs.put(now, e.Event, append(args, "config_version", e.Version, "n", e.Detail)...)
+	f.text("reason", e.Reason)
+	f.age(e.Age)
+	f.add("config_version", e.Version)
+	f.add("n", e.Detail)
+	b.logs.put(now, e.Event, f...)
 }
 
 // watchConfig keeps the configuration in step with the store.
--- a/internal/passnode/logs.go
+++ b/internal/passnode/logs.go
@@ -6,6 +6,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/ring"
 )
 
@@ -73,3 +74,27 @@
 		l.logger.Info(next.msg, next.args...)
 	}
 }
+
+// fields collects the fields of a line, leaving out what says nothing.
+type fields []any
+
+func (f *fields) add(key string, value any) { *f = append(*f, key, value) }
+
+func (f *fields) flow(flow model.Flow) {
+	if flow.Src.IsValid() {
+		f.add("flow", flow.Src.String()+">"+flow.Dst.String())
+	}
+}
+
+func (f *fields) text(key, value string) {
+	if value != "" {
+		f.add(key, value)
+	}
+}
+
+// age adds an age; one of an hour or more is of something that never was.
+func (f *fields) age(d time.Duration) {
+	if d > 0 && d < time.Hour {
+		f.add("age_ms", d.Milliseconds())
+	}
+}
--- a/internal/passnode/socket.go
+++ b/internal/passnode/socket.go
@@ -11,6 +11,7 @@
 
 	"github.com/bulrushshelf/bulrushshelf/internal/ring"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
+	"github.com/bulrushshelf/bulrushshelf/internal/telemetry"
 )
 
 const (
@@ -82,3 +83,31 @@
 	_, err := s.conn.WriteToUDPAddrPort(b, to)
 	return err
 }
+
+// sender encodes messages and counts the datagrams that the kernel did not take.
+type sender struct {
+	metrics *telemetry.Metrics
+	buf     []byte
+}
+
+// message sends m from a socket.
+func (s *sender) message(from *socket, to netip.AddrPort, m steerwire.Message) {
+	out, err := steerwire.Append(s.buf[:0], m)
+	if err == nil {
+		s.buf = out
+		err = from.write(out, to)
+	}
+	s.sent("message", err)
+}
+
+func (s *sender) sent(kind string, err error) {
+	if err != nil {
+		s.metrics.Count(CounterSend, kind, 1)
+	}
+}
+
+// CounterSend counts datagrams that the kernel did not take.
+const CounterSend = "passnode_sends_failed"
+
+// CounterMalformed counts datagrams that could not be read.
+const CounterMalformed = "passnode_datagrams_malformed"
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -7,7 +7,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
@@ -70,7 +69,7 @@
 	// FullSegment is the most data that a packet carries. A request goes on after a
 	// full packet and is whole with one that is not; until then it takes no slot.
 	FullSegment int
-	FirstStart  bool          // the deployment starts for the first time, so the target holds no flows
+	FirstStart  bool // the deployment starts for the first time, so the target holds no flows
 }
 
 // ActionKind tells actions apart.
@@ -158,44 +157,6 @@
 	keptSegments []segment.Segment
 }
 
-// Heartbeat is what a target says of itself.
-type Heartbeat struct {
-	Target   string // identity, new with most starts
-	Service  model.ServiceName
-	Draining bool
-	Slots    int
-	Cold     time.Duration // how much longer it stays slow after its start
-	Sequence uint64        // rises within one start
-	Born     int64         // start of the target, Unix milliseconds by its clock
-}
-
-// Verdict is the answer to a heartbeat.
-type Verdict uint8
-
-// The verdicts.
-const (
-	// Accepted: the heartbeat is in effect; a draining target gets no new flow
-	// from now on.
-	Accepted Verdict = iota + 1
-	// Outdated: a later heartbeat, or one of a later start, came before.
-	Outdated
-	// Foreign: the heartbeat is not of this agent's target.
-	Foreign
-)
-
-// String returns the verdict as used in counters.
-func (v Verdict) String() string {
-	switch v {
-	case Accepted:
-		return "accepted"
-	case Outdated:
-		return "outdated"
-	case Foreign:
-		return "foreign"
-	}
-	return "invalid"
-}
-
 // Core is the state of one agent.
 type Core struct {
 	o       Options
@@ -267,143 +228,6 @@
 	c.actions = append(c.actions, Action{Kind: SendMessage, To: to, Message: m})
 }
 
-// Listed notes that the agent's object is in the store, so that every balancer
-// can know of the flows that its target takes from now on.
-func (c *Core) Listed(now time.Time) []Action {
-	c.actions = c.actions[:0]
-	if !c.listed {
-		c.listed = true
-		c.reportAll(now)
-	}
-	return c.actions
-}
-
-// admits reports whether balancers can know of the agent's flows.
-func (c *Core) admits(now time.Time) bool {
-	return c.listed || !c.hello.IsZero() && now.Sub(c.hello) >= unlistedDelay
-}
-
-// Leave marks that the agent is about to stop: new flows go elsewhere.
-func (c *Core) Leave(now time.Time) []Action {
-	c.actions = c.actions[:0]
-	c.leaving = true
-	c.reportAll(now)
-	return c.actions
-}
-
-// Heard takes a heartbeat of the target.
-func (c *Core) Heard(now time.Time, h Heartbeat) (Verdict, []Action) {
-	c.actions = c.actions[:0]
-	v := c.judge(h)
-	c.count(CounterHeartbeats, v.String())
-	if v != Accepted {
-		c.log(Entry{Event: "heartbeat", Reason: v.String(), Sequence: h.Sequence, Age: now.Sub(c.sign)})
-		return v, c.actions
-	}
-	if c.known && h.Born != c.target.Born {
-		c.forgetFlows(now, "restarted")
-	}
-	if c.uncertain && h.Born > 0 && h.Born+startSlack.Milliseconds() > int64(c.o.Incarnation) {
-		c.uncertain = false // the target started with the agent or later, so all its flows were seen
-		c.log(Entry{Event: "flows_certain", Reason: "target_started_later", Sequence: h.Sequence})
-	}
-	c.known, c.target, c.sign = true, h, now
-	c.coldUntil = now.Add(h.Cold)
-	state := steerwire.TargetReady
-	if h.Draining {
-		state = steerwire.TargetDraining
-	}
-	c.setState(now, state, "heartbeat")
-	return v, c.actions
-}
-
-func (c *Core) judge(h Heartbeat) Verdict {
-	switch {
-	case h.Service != c.o.Service:
-		return Foreign
-	case !c.known:
-		return Accepted
-	case h.Born < c.target.Born:
-		return Outdated
-	case h.Born == c.target.Born && h.Target == c.target.Target && h.Sequence <= c.target.Sequence:
-		return Outdated
-	case h.Born == c.target.Born && h.Target == c.target.Target && c.state == steerwire.TargetGone:
-		return Outdated
-	}
-	return Accepted
-}
-
-// Health is the outcome of a health check.
-type Health uint8
-
-// The outcomes. NotRunning means that nothing listens at the target's address,
-// so no target holds flows there.
-const (
-	Unhealthy Health = iota
-	Healthy
-	NotRunning
-)
-
-// Checked takes the outcome of a health check, which counts until the first
-// heartbeat. Slots are unknown then; one is the least a target has.
-func (c *Core) Checked(now time.Time, h Health) []Action {
-	c.actions = c.actions[:0]
-	switch {
-	case c.known:
-	case h == NotRunning && len(c.flows) == 0:
-		c.uncertain = false
-		c.log(Entry{Event: "flows_certain", Reason: "target_not_running"})
-	case h == Healthy:
-		c.sign = now
-		c.target.Slots = 1
-		c.setState(now, steerwire.TargetReady, "health_check")
-	}
-	return c.actions
-}
-
-// Left takes the target's announcement that it ends.
-func (c *Core) Left(now time.Time, target string) []Action {
-	c.actions = c.actions[:0]
-	if c.known && target != c.target.Target {
-		c.count(CounterHeartbeats, "foreign_leave")
-		return c.actions
-	}
-	c.setState(now, steerwire.TargetGone, "leave")
-	return c.actions
-}
-
-// forgetFlows drops all flows of an earlier start of the target.
-func (c *Core) forgetFlows(now time.Time, reason string) {
-	c.log(Entry{Event: "flows_forgotten", Reason: reason, Sequence: uint64(len(c.flows))})
-	clear(c.flows)
-	c.opens, c.probes = c.opens[:0], c.probes[:0]
-	c.load.reset(now)
-	c.uncertain = false
-}
-
-func (c *Core) setState(now time.Time, s steerwire.TargetState, reason string) {
-	if s == c.state {
-		return
-	}
-	c.log(Entry{Event: "target_" + s.String(), Reason: reason, Sequence: c.target.Sequence, Age: now.Sub(c.sign)})
-	c.state = s
-	c.unanswered = 0
-	c.reportAll(now)
-}
-
-// alive notes a sign of life. A silent target that sends again takes flows again.
-func (c *Core) alive(now time.Time) {
-	c.sign = now
-	c.unanswered = 0
-	if c.state == steerwire.TargetSilent {
-		state := steerwire.TargetReady
-		if c.target.Draining {
-			state = steerwire.TargetDraining
-		}
-		c.setState(now, state, "packet")
-	}
-}
-
 // Message handles a message of a peer. s is the segment of a Forward's packet.
 func (c *Core) Message(now time.Time, from netip.AddrPort, m steerwire.Message, s segment.Segment) []Action {
 	c.actions = c.actions[:0]
@@ -448,67 +272,6 @@
 	return steerwire.NotHeld
 }
 
-// reportAll tells all balancers the state at once.
-func (c *Core) reportAll(now time.Time) {
-	c.admitted = c.admits(now)
-	c.sequence++
-	for _, a := range c.knownBalancers() {
-		c.send(a, steerwire.Message{Kind: steerwire.KindReport, Report: c.report(now)})
-	}
-}
-
-// contacted notes the hello of a balancer. In a long loss of all balancers they
-// may have removed the agent's object, so it is written again.
-func (c *Core) contacted(now time.Time) {
-	if c.hello.IsZero() {
-		c.hello = now
-	} else if now.Sub(c.contact) >= registerAfter && c.listed {
-		c.hello, c.listed, c.admitted = now, false, false
-		c.log(Entry{Event: "registering", Reason: "balancers_back", Age: now.Sub(c.contact)})
-		c.actions = append(c.actions, Action{Kind: Register})
-	}
-	c.contact = now
-}
-
-func (c *Core) knownBalancers() []netip.AddrPort {
-	out := make([]netip.AddrPort, 0, len(c.balancers))
-	for a := range c.balancers {
-		out = append(out, a)
-	}
-	slices.SortFunc(out, netip.AddrPort.Compare)
-	return out
-}
-
-// Report returns the state and load, for a balancer that has not been heard.
-func (c *Core) Report(now time.Time) steerwire.Report {
-	c.sequence++
-	return c.report(now)
-}
-
-func (c *Core) report(now time.Time) steerwire.Report {
-	r := steerwire.Report{
-		Node: c.o.Node, Incarnation: c.o.Incarnation, Sequence: c.sequence, DataCentre: c.o.DataCentre,
-		Service: c.o.Service, State: c.state, Slots: c.target.Slots,
-		BusyCenti: int(c.load.average(now)*100 + 0.5), Flows: len(c.flows), BornMillis: c.target.Born,
-	}
-	switch {
-	case r.State != steerwire.TargetReady:
-	case c.leaving:
-		r.State = steerwire.TargetDraining
-	case !c.admits(now):
-		r.State = steerwire.TargetUnknown
-	}
-	if left := c.coldUntil.Sub(now); left > 0 {
-		r.ColdMillis = int(left / time.Millisecond)
-	}
-	if c.sequence%balancersEvery == 1 {
-		if r.Balancers = c.knownBalancers(); len(r.Balancers) > steerwire.MaxPeers {
-			r.Balancers = r.Balancers[:steerwire.MaxPeers]
-		}
-	}
-	return r
-}
-
 // Tick does what is due. The runtime calls it at Next or earlier.
 func (c *Core) Tick(now time.Time) []Action {
 	c.actions = c.actions[:0]
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -21,7 +21,7 @@
 const (
 	clientSeq   = 100
 	fullSegment = 1200
-	targetSeq = 500
+	targetSeq   = 500
 )
 
 func ms(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -104,7 +104,7 @@
 	if f.ntried > 0 || len(c.waiting) >= maxWaiting {
 		return false
 	}
-	ts := c.byDist[f.service]
+	ts := c.byService[f.service]
 	if len(ts) == 0 {
 		return now.Sub(c.started) < startTimeout
 	}
@@ -152,7 +152,7 @@
 func (c *Core) choose(now time.Time, f *flow) *target {
 	for _, suspects := range []bool{false, true} {
 		c.cands = c.cands[:0]
-		for _, t := range c.byDist[f.service] {
+		for _, t := range c.byService[f.service] {
 			if f.wasTried(t.addr) || !c.takesFlows(now, t, suspects) || len(c.cands) >= maxCandidates {
 				continue
 			}
--- a/internal/steer/returns.go
+++ b/internal/steer/returns.go
@@ -61,7 +61,7 @@
 // capacity sums up the targets of a service that take flows.
 func (c *Core) capacity(now time.Time, s model.ServiceName) pacing.Capacity {
 	out := pacing.Capacity{Balancers: 1}
-	for _, t := range c.byDist[s] {
+	for _, t := range c.byService[s] {
 		if !c.takesFlows(now, t, false) {
 			continue
 		}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -240,7 +240,7 @@
 	asks       map[model.Flow]*ask
 	targets    map[netip.AddrPort]*target
 	peers      map[netip.AddrPort]*peer
-	byDist     map[model.ServiceName][]*target         // targets of each service, in order of address
+	byService  map[model.ServiceName][]*target         // targets of each service, in order of address
 	hello      time.Time                               // of the last hellos to agents
 	peerHello  time.Time                               // of the last hellos to balancers
 	tellPeers  bool                                    // an agent is new
@@ -264,8 +264,8 @@
 		o: o, started: now, tick: now, random: model.Mix(o.Seed),
 		former: make(map[netip.AddrPort][]Share), flows: make(map[model.Flow]*flow), asks: make(map[model.Flow]*ask),
 		targets: make(map[netip.AddrPort]*target), questions: make(map[netip.AddrPort][]steerwire.Question), peers: make(map[netip.AddrPort]*peer),
-		byDist:  make(map[model.ServiceName][]*target),
-		returns: make(map[model.ServiceName]*pacing.Queue[model.Flow]), returning: make(map[model.Flow]returning),
+		byService: make(map[model.ServiceName][]*target),
+		returns:   make(map[model.ServiceName]*pacing.Queue[model.Flow]), returning: make(map[model.Flow]returning),
 	}
 	return c
 }
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -169,7 +169,7 @@
 	t.assigned = 0
 	t.suspectUntil = time.Time{}
 	t.coldUntil = now.Add(time.Duration(r.ColdMillis) * time.Millisecond)
-	if old.Service != r.Service || len(c.byDist[r.Service]) == 0 {
+	if old.Service != r.Service || len(c.byService[r.Service]) == 0 {
 		c.index()
 	}
 	if len(c.waiting) > 0 && r.State == steerwire.TargetReady {
@@ -179,13 +179,13 @@
 
 // index rebuilds the lists of targets by service.
 func (c *Core) index() {
-	clear(c.byDist)
+	clear(c.byService)
 	for _, t := range c.targets {
 		if t.ever {
-			c.byDist[t.report.Service] = append(c.byDist[t.report.Service], t)
+			c.byService[t.report.Service] = append(c.byService[t.report.Service], t)
 		}
 	}
-	for _, ts := range c.byDist {
+	for _, ts := range c.byService {
 		slices.SortFunc(ts, func(a, b *target) int { return a.addr.Compare(b.addr) })
 	}
 }
