steer: agents that certainly held no flow do not hold up resets

Callers of 57 ended flows waited until their deadlines.

Ruled out: the queue at the targets (no request expired there), the listing (it was answered in 25 ms), questions lost (all other agents answered within 20 ms).

An agent now reports that its target certainly holds no flow and takes none. If it goes silent while all other agents are heard, it no longer counts as a possible holder.

--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -409,3 +409,26 @@
 	is.Equal(delivered(forward(c, start, last)), 1) // the last packet is never kept
 	is.Equal(c.load.busy, 1)
 }
+
+// Guards against an agent that says its target holds no flow when it may.
+func TestEmptyIsCertain(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	is.True(!c.Report(start).Empty) // the target may have been running before
+	c.Checked(start, NotRunning)
+	is.True(c.Report(start).Empty)
+	c.Heard(start, beat(1))
+	is.True(!c.Report(start).Empty) // it may take a flow at any moment
+
+	c = ready()
+	open(c, ms(1), 1)
+	drain := beat(2)
+	drain.Draining = true
+	c.Heard(ms(2), drain)
+	is.True(!c.Report(ms(2)).Empty)
+	rst := request(1)
+	rst.Flags |= segment.RST
+	forward(c, ms(3), rst)
+	c.Tick(ms(5000))
+	is.True(c.Report(ms(5000)).Empty)
+}
--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -266,20 +266,24 @@
 
 // agentsComplete reports whether the agents known are enough to tell that nobody
 // holds a flow: each has reported lately or is gone, and no more are gone than are
-// there.
+// there. While one counts as gone that was heard lately, all others must be
+// reachable, so that its silence is not due to the own link.
 func (c *Core) agentsComplete(now time.Time) bool {
-	reachable, gone := 0, 0
+	present, gone := 0, 0
+	unreachable, early := false, false
 	for _, t := range c.targets {
 		switch {
 		case c.gone(now, t):
 			gone++
+			early = early || !t.lost(now)
 		case !t.ever || t.lost(now):
 			return false
 		default:
-			reachable++
+			present++
+			unreachable = unreachable || !c.reachable(now, t)
 		}
 	}
-	return reachable > gone
+	return present > gone && !(early && unreachable)
 }
 
 // overdueAsks repeats or ends asks without all answers.
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -464,3 +464,31 @@
 	peer(ms(4000), agentB)
 	is.True(search(ms(4001), 3, 2)) // all have lost it
 }
+
+// Guards against callers of ended flows that nobody tells, because an agent whose
+// target never came went away for good: on trouble-1 of podas-edge 57 requests failed
+// in the five seconds after that.
+func TestAgentThatHeldNoFlowDoesNotHoldUpResets(t *testing.T) {
+	for _, test := range []struct {
+		empty, silentC bool
+		reset          bool
+	}{
+		{empty: true, reset: true},
+		{empty: false, reset: false},
+		{empty: true, silentC: true, reset: false}, // others are silent too: the own link may be the cause
+	} {
+		is := is.New(t)
+		c := newCore(agentA, agentB, agentC)
+		ready(c, start, 1, agentA, agentC)
+		report(c, start, agentB, steerwire.Report{Incarnation: 1, Sequence: 1, State: steerwire.TargetUnknown, Empty: test.empty})
+		c.Message(start, peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: "b2", Incarnation: 1}}, segment.Segment{})
+		ready(c, ms(1000), 2, agentA)
+		if !test.silentC {
+			ready(c, ms(1000), 2, agentC)
+		}
+		c.Packet(ms(1001), data(1), raw)
+		answer(c, ms(1002), agentA, flowOf(1), steerwire.NotHeld)
+		answer(c, ms(1003), agentC, flowOf(1), steerwire.NotHeld)
+		is.Equal(has(c.SetAgents(ms(1010), []netip.AddrPort{agentA, agentB, agentC}, ms(1004)), ResetCaller), test.reset)
+	}
+}
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -40,9 +40,10 @@
 
 // gone reports whether the agent is lost to all balancers. An agent that only this
 // one has lost may hold flows that other balancers reach: the own link may be full.
+// One that is silent and last said that its target holds no flow has none to lose.
 func (c *Core) gone(now time.Time, t *target) bool {
 	if !t.lost(now) {
-		return false
+		return t.report.Empty && !c.reachable(now, t)
 	}
 	heard, live := false, false
 	for _, p := range c.peers {
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -214,6 +214,8 @@
 	Balancers []netip.AddrPort `cbor:"11,keyasint,omitempty"`
 	// BornMillis is the start of the target, Unix milliseconds by its clock.
 	BornMillis int64 `cbor:"12,keyasint,omitzero"`
+	// Empty means that the target certainly holds no flow and takes none.
+	Empty bool `cbor:"13,keyasint,omitzero"`
 }
 
 // Message is one decoded message; only the field of its kind is set.
