--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -202,7 +202,7 @@
 	for _, a := range actions {
 		switch a.Kind {
 		case steer.SendForward:
-			b.out.buf = steerwire.AppendForward(b.out.buf[:0], steerwire.Forward{Hinted: a.Hinted, Service: a.Service, Terms: a.Terms, Packet: a.Packet})
+			b.out.buf = steerwire.AppendForward(b.out.buf[:0], steerwire.Forward{Service: a.Service, Terms: a.Terms, Packet: a.Packet})
 			b.out.sent("forward", b.peers.write(b.out.buf, a.To))
 		case steer.SendMessage:
 			b.out.message(b.peers, a.To, a.Message)
--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -140,7 +140,7 @@
 	c.flows[key] = f
 	c.log(Entry{Event: "found", Flow: key, Service: f.service, Target: target, Reason: reason, Version: c.version(), Age: now.Sub(a.at), Detail: a.rounds})
 	for _, p := range a.packets {
-		c.forward(key, target, f.service, reason == "held", p)
+		c.forward(key, target, f.service, p)
 	}
 }
 
@@ -229,7 +229,7 @@
 	delete(c.asks, key)
 	c.flows[key] = f
 	c.log(Entry{Event: "probed", Flow: key, Service: f.service, Target: f.target, Version: c.version(), Detail: int(f.ntried)})
-	c.forward(key, f.target, f.service, false, a.packets[0])
+	c.forward(key, f.target, f.service, a.packets[0])
 	return true
 }
 
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -27,7 +27,7 @@
 		// The answer may have been lost on its way to the caller: the same target
 		// answers again, another one would open the flow twice.
 		f.lastSeen = now
-		c.forward(s.Flow, f.target, f.service, f.opened, raw)
+		c.forward(s.Flow, f.target, f.service, raw)
 		return
 	}
 	if f == nil {
@@ -95,7 +95,7 @@
 		Event: "placed", Flow: key, Service: f.service, Target: best.addr,
 		Version: c.version(), Age: now.Sub(best.at), Detail: int(f.ntried),
 	})
-	c.forward(key, best.addr, f.service, false, f.syn)
+	c.forward(key, best.addr, f.service, f.syn)
 }
 
 // mayGetTarget reports whether a target for the flow may become known within a
@@ -184,7 +184,7 @@
 		return
 	}
 	f.lastSeen, f.ack = now, s.Ack
-	c.forward(s.Flow, f.target, f.service, f.opened, raw)
+	c.forward(s.Flow, f.target, f.service, raw)
 }
 
 // refused handles a packet that an agent handed back.
@@ -215,7 +215,7 @@
 	// The flow is elsewhere: an opening packet went to several targets, or the
 	// belief is old.
 	if f != nil && f.target != from {
-		c.forward(s.Flow, f.target, f.service, f.opened, r.Packet)
+		c.forward(s.Flow, f.target, f.service, r.Packet)
 		return
 	}
 	if f != nil {
@@ -223,7 +223,7 @@
 		if f.ntried > 0 {
 			f.target, f.opened = f.tried[0], true
 			c.log(Entry{Event: "redirected", Flow: s.Flow, Service: f.service, Target: f.target, Reason: r.Reason.String(), Version: c.version(), Detail: int(f.ntried)})
-			c.forward(s.Flow, f.target, f.service, true, r.Packet)
+			c.forward(s.Flow, f.target, f.service, r.Packet)
 			return
 		}
 		delete(c.flows, s.Flow)
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -123,7 +123,6 @@
 	Kind    ActionKind
 	To      netip.AddrPort
 	Service uint64
-	Hinted  bool
 	Terms   steerwire.Terms
 	Packet  []byte
 	Message steerwire.Message
@@ -392,9 +391,9 @@
 	c.actions = append(c.actions, Action{Kind: SendMessage, To: to, Message: m})
 }
 
-func (c *Core) forward(key model.Flow, to netip.AddrPort, service model.ServiceName, hinted bool, packet []byte) {
+func (c *Core) forward(key model.Flow, to netip.AddrPort, service model.ServiceName, packet []byte) {
 	c.actions = append(c.actions, Action{
-		Kind: SendForward, To: to, Service: model.HashString(string(service)), Hinted: hinted,
+		Kind: SendForward, To: to, Service: model.HashString(string(service)),
 		Terms: c.config.Routes[key.Dst].Terms, Packet: packet,
 	})
 }
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -248,7 +248,7 @@
 		switch a.Kind {
 		case steer.SendForward:
 			s.post(b.addr, a.To, steerwire.Message{Kind: steerwire.KindForward, Forward: steerwire.Forward{
-				Hinted: a.Hinted, Service: a.Service, Terms: a.Terms, Packet: append([]byte(nil), a.Packet...),
+				Service: a.Service, Terms: a.Terms, Packet: append([]byte(nil), a.Packet...),
 			}})
 		case steer.SendMessage:
 			s.post(b.addr, a.To, a.Message)
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -25,8 +25,8 @@
 	magic = 0xB5
 	// headLen is the length of magic, format and kind.
 	headLen = 3
-	// forwardLen is the length of a Forward or Refuse without its packet; a Refuse
-	// has no terms.
+	// forwardLen is the length of a Forward or Refuse without its packet: reason,
+	// service and terms. A Forward has no reason, a Refuse no terms.
 	forwardLen = headLen + 1 + 8 + termsLen
 	// termsLen is the length of Terms: priority, objective and deadline in milliseconds.
 	termsLen = 1 + 2 + 2
@@ -105,7 +105,6 @@
 // service that the balancer means, so that an address that was given to another
 // service refuses it.
 type Forward struct {
-	Hinted  bool // the sender believes that the target holds the flow
 	Service uint64
 	Terms   Terms
 	Packet  []byte // aliases the buffer that was decoded
@@ -173,6 +172,8 @@
 	// Lost are agents that the sender has not heard for long, for other balancers:
 	// what all of them lost is gone, what one lost may be its own fault.
 	Lost []netip.AddrPort `cbor:"7,keyasint,omitempty"`
+	// Decisions is the store revision of the decision files in effect, 0 for none read.
+	Decisions uint64 `cbor:"8,keyasint,omitzero"`
 }
 
 // TargetState is what an agent says of its target.
@@ -235,11 +236,7 @@
 
 // AppendForward appends the encoding of f.
 func AppendForward(dst []byte, f Forward) []byte {
-	var hinted byte
-	if f.Hinted {
-		hinted = 1
-	}
-	dst = append(dst, magic, Format, byte(KindForward), hinted)
+	dst = append(dst, magic, Format, byte(KindForward), 0)
 	return append(f.Terms.append(binary.BigEndian.AppendUint64(dst, f.Service)), f.Packet...)
 }
 
@@ -291,7 +288,7 @@
 		}
 		service, packet := binary.BigEndian.Uint64(b[headLen+1:]), b[forwardLen:]
 		if m.Kind == KindForward {
-			m.Forward = Forward{Hinted: b[headLen] != 0, Service: service, Terms: decodeTerms(b[headLen+9:]), Packet: packet}
+			m.Forward = Forward{Service: service, Terms: decodeTerms(b[headLen+9:]), Packet: packet}
 		} else {
 			m.Refuse = Refuse{Reason: Reason(b[headLen]), Service: service, Packet: packet}
 		}
--- a/internal/steerwire/steerwire_test.go
+++ b/internal/steerwire/steerwire_test.go
@@ -18,12 +18,12 @@
 
 func messages() []Message {
 	return []Message{
-		{Kind: KindForward, Forward: Forward{Hinted: true, Service: 7, Packet: []byte("p"), Terms: Terms{Priority: 2, Objective: 150 * time.Millisecond, Deadline: 1200 * time.Millisecond}}},
+		{Kind: KindForward, Forward: Forward{Service: 7, Packet: []byte("p"), Terms: Terms{Priority: 2, Objective: 150 * time.Millisecond, Deadline: 1200 * time.Millisecond}}},
 		{Kind: KindRefuse, Refuse: Refuse{Reason: ReasonFull, Service: 7, Packet: []byte("p")}},
 		{Kind: KindOpened, Opened: Opened{Flow: flow}},
 		{Kind: KindAsk, Ask: Ask{Questions: []Question{{Flow: flow, Ack: 5}}}},
 		{Kind: KindAnswer, Answer: Answer{Verdicts: []Verdict{{Flow: flow, Holding: Unsure}}}},
-		{Kind: KindHello, Hello: Hello{Node: "b", Incarnation: 1, Revision: 2, Agents: []netip.AddrPort{flow.Src}, WantAgents: true}},
+		{Kind: KindHello, Hello: Hello{Node: "b", Incarnation: 1, Revision: 2, Agents: []netip.AddrPort{flow.Src}, WantAgents: true, Decisions: 5}},
 		{Kind: KindReport, Report: Report{Node: "a", Incarnation: 1, Sequence: 2, Service: "s", State: TargetReady, Slots: 3, BusyCenti: 150, BornMillis: 9, Empty: true}},
 	}
 }
