decision files above the operator's configuration, platform-ctl, latency histograms

The folder of decision files had no effect on the users' platform, and /metrics had counters only. Balancers now list decisions/ in the store, put the files above the operator's configuration, and hand them on to balancers that the store refuses. platform-ctl is bulrushshelf-ctl with the adapter's transport; explain shows the operator's addresses and what overrides them.

--- a/internal/ctl/local.go
+++ b/internal/ctl/local.go
@@ -1,11 +1,14 @@
 package ctl
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/config"
+	"github.com/bulrushshelf/bulrushshelf/internal/steer"
 )
 
 type dirArg struct {
@@ -82,13 +85,16 @@
 	Kind   string               `json:"kind"`
 	Name   string               `json:"name"`
 	Fields []config.FieldOrigin `json:"fields"`
+	// Base are the addresses that the operator's configuration, below the decision
+	// files, gives to a service.
+	Base []baseAddress `json:"base,omitempty"`
 }
 
 func explain(s *config.Snapshot, name string) []explanation {
 	var out []explanation
 	for _, k := range config.Kinds() {
 		if fields := s.Explain(k, name); fields != nil {
-			out = append(out, explanation{k.String(), name, fields})
+			out = append(out, explanation{Kind: k.String(), Name: name, Fields: fields})
 		}
 	}
 	return out
@@ -115,6 +121,12 @@
 			a.printf("    overrode %s from %s:%d:%d\n", o.Value, o.File, o.At.Line, o.At.Column)
 		}
 	}
+	for _, b := range e.Base {
+		a.printf("  %-20s %-32s operator's configuration, version %d\n", "address:", fmt.Sprintf("%s, weight %d of %d", b.Address, b.Weight, b.Total), b.Version)
+		if b.File != "" {
+			a.printf("    overridden: belongs to service %s by %s\n", b.Service, b.File)
+		}
+	}
 }
 
 type mergeReport struct {
@@ -132,7 +144,7 @@
 	r := mergeReport{Findings: found}
 	for _, k := range config.Kinds() {
 		for _, name := range s.Subjects(k) {
-			r.Subjects = append(r.Subjects, explanation{k.String(), name, s.Explain(k, name)})
+			r.Subjects = append(r.Subjects, explanation{Kind: k.String(), Name: name, Fields: s.Explain(k, name)})
 		}
 	}
 	err = c.print(r, func() {
@@ -152,6 +164,7 @@
 // Execute runs explain.
 func (c *explainCommand) Execute([]string) error {
 	var s *config.Snapshot
+	var base *steer.Config
 	if c.Dir != "" {
 		files, err := readFolder(c.Dir)
 		if err != nil {
@@ -164,11 +177,20 @@
 			return err
 		}
 		s = f.snapshot
+		if base, err = c.loadBase(); err != nil {
+			return err
+		}
 	}
 	for _, f := range s.Findings() {
 		c.warnf("%s", f)
 	}
 	found := explain(s, c.Args.Name)
+	if addrs := baseAddresses(base, s, c.Args.Name); len(addrs) > 0 {
+		if len(found) == 0 || found[0].Kind != config.KindService.String() {
+			found = slices.Insert(found, 0, explanation{Kind: config.KindService.String(), Name: c.Args.Name})
+		}
+		found[0].Base = addrs
+	}
 	if len(found) == 0 {
 		return exitf(ExitRefused, "no decision names %q", c.Args.Name)
 	}
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -70,6 +70,7 @@
 	globals
 	ctx         context.Context
 	out, errOut io.Writer
+	platform    Platform
 }
 
 // command is the part of a command that go-flags fills.
@@ -106,7 +107,10 @@
 
 // Run runs one command and returns its exit code.
 func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
-	a := &app{ctx: ctx, out: out, errOut: errOut}
+	return runApp(&app{ctx: ctx, out: out, errOut: errOut}, args)
+}
+
+func runApp(a *app, args []string) int {
 	p := flags.NewNamedParser("bulrushshelf-ctl", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = "Operators' command of bulrushshelf.\n\n" + exitCodes
 	if _, err := p.AddGroup("Common options", "", &a.globals); err != nil {
@@ -172,7 +176,7 @@
 	if a.Store == "" {
 		return nil, exitf(ExitUsage, "the flag --store or BULRUSHSHELF_STORE is needed")
 	}
-	c, err := storeclient.New(storeclient.Options{URL: a.Store, Seed: uint64(time.Now().UnixNano())})
+	c, err := storeclient.New(storeclient.Options{URL: a.Store, Seed: uint64(time.Now().UnixNano()), Transport: a.platform.Transport})
 	if err != nil {
 		return nil, exit(ExitUsage, err)
 	}
--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -298,6 +298,8 @@
 			a.o.Codec.ClearBounced(x.Packet)
 		case passthrough.Count:
 			a.o.Metrics.Count(x.Counter.Name, x.Counter.Reason, 1)
+		case passthrough.Observe:
+			a.o.Metrics.Observe(x.Counter.Name, x.Counter.Reason, x.Latency)
 		case passthrough.Log:
 			a.logEntry(now, x.Entry)
 		}
--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -80,16 +80,19 @@
 	out    sender
 	ready  atomic.Pointer[string] // reason why not ready, empty if it is
 	config atomic.Pointer[sharedConfig]
-	fetch  chan netip.AddrPort
-	list   chan struct{} // a listing that is not old is wanted
-	remove chan netip.AddrPort
+	// decisions are the decision files in effect; nil before the first.
+	decisions atomic.Pointer[sharedDecisions]
+	decided   chan struct{} // closed after the first listing of decision files
+	fetch     chan netip.AddrPort
+	list      chan struct{} // a listing that is not old is wanted
+	remove    chan netip.AddrPort
 	// versions are those of the agents' objects; the listing's goroutine owns them.
 	versions map[netip.AddrPort]uint64
 }
 
 // NewBalancer binds the sockets.
 func NewBalancer(o BalancerOptions) (*Balancer, error) {
-	b := &Balancer{o: o, logs: newLogs(o.Logger), out: sender{metrics: o.Metrics}, fetch: make(chan netip.AddrPort, 1), list: make(chan struct{}, 1), remove: make(chan netip.AddrPort, callQueue)}
+	b := &Balancer{o: o, logs: newLogs(o.Logger), out: sender{metrics: o.Metrics}, fetch: make(chan netip.AddrPort, 1), list: make(chan struct{}, 1), decided: make(chan struct{}), remove: make(chan netip.AddrPort, callQueue)}
 	b.loop = newLoop(o.Metrics, b.logs)
 	b.loop.datagram, b.loop.tick, b.loop.next = b.datagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -123,6 +126,7 @@
 	g.Go(func() error { return b.serveConfig(gctx) })
 	g.Go(func() error { return b.fetchConfigs(gctx) })
 	g.Go(func() error { return b.watchConfig(gctx) })
+	g.Go(func() error { return b.watchDecisions(gctx) })
 	g.Go(func() error { return b.listAgents(gctx) })
 	g.Go(func() error {
 		defer stop()
@@ -226,6 +230,8 @@
 			}
 		case steer.Count:
 			b.o.Metrics.Count(a.Counter.Name, a.Counter.Reason, 1)
+		case steer.Observe:
+			b.o.Metrics.Observe(a.Counter.Name, a.Counter.Reason, a.Latency)
 		case steer.Log:
 			b.logEntry(now, a.Entry)
 		}
@@ -249,9 +255,15 @@
 // watchConfig keeps the configuration in step with the store.
 func (b *Balancer) watchConfig(ctx context.Context) error {
 	var after uint64
+	began := time.Now()
 	for after == 0 && ctx.Err() == nil && b.config.Load() == nil {
 		if o, err := b.o.Store.Get(ctx, b.o.ConfigPath); err == nil {
 			after = o.Version
+			select {
+			case <-b.decided:
+			case <-time.After(time.Until(began.Add(decisionWait))):
+			case <-ctx.Done():
+			}
 			b.offerConfig(ctx, o.Version, o.Content, "store")
 			break
 		}
--- a/internal/passnode/configrpc.go
+++ b/internal/passnode/configrpc.go
@@ -15,10 +15,11 @@
 const methodConfig = "configuration"
 
 // sharedConfig is a configuration as balancers hand it on: the store's revision
-// and the content of the object.
+// and the content of the object, and the decision files above it.
 type sharedConfig struct {
-	Revision uint64          `json:"revision"`
-	Content  json.RawMessage `json:"content"`
+	Revision  uint64           `json:"revision"`
+	Content   json.RawMessage  `json:"content,omitempty"`
+	Decisions *sharedDecisions `json:"decisions,omitempty"`
 }
 
 // serveConfig answers other balancers until ctx is done.
@@ -47,10 +48,12 @@
 	if r.Method != methodConfig {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 	}
+	var out sharedConfig
 	if c := b.config.Load(); c != nil {
-		return c, nil
+		out = *c
 	}
-	return sharedConfig{}, nil
+	out.Decisions = b.decisions.Load()
+	return out, nil
 }
 
 // fetchConfigs gets the configuration of each balancer that the core names.
@@ -61,11 +64,15 @@
 			return nil
 		case from := <-b.fetch:
 			c, err := fetchConfig(ctx, from.String())
-			switch {
-			case err != nil:
+			if err != nil {
 				b.o.Metrics.Count(CounterConfig, "fetch_failed", 1)
 				b.say(ctx, "configuration_fetch_failed", "peer", from.String(), "err", err.Error())
-			case c.Revision > 0:
+				continue
+			}
+			if c.Decisions != nil {
+				b.offerDecisions(ctx, *c.Decisions, "peer")
+			}
+			if c.Revision > 0 {
 				b.offerConfig(ctx, c.Revision, c.Content, "peer")
 			}
 		}
--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -174,6 +174,7 @@
 		f.confirmed = f.confirmed || f.phase == held
 		if s.DataLen > 0 && f.busy {
 			c.noteWork(now.Sub(f.since))
+			c.observe(LatencyRequest, "answered", now.Sub(f.since))
 			c.settle(now, f)
 		}
 		f.finOut = f.finOut || s.Flags.Has(segment.FIN)
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -91,6 +91,8 @@
 	Log
 	// Count raises a counter.
 	Count
+	// Observe adds Latency to the histogram that Counter names.
+	Observe
 )
 
 // Action is what the runtime does, in order. Slices alias the packet given to
@@ -103,6 +105,7 @@
 	Message steerwire.Message
 	Entry   Entry
 	Counter Counter
+	Latency time.Duration
 }
 
 // Entry is one decision for the log.
@@ -125,6 +128,15 @@
 	CounterHeartbeats = "passthrough_heartbeats"
 )
 
+// The latency histograms of the core.
+const (
+	// LatencyRequest is from the delivery of a request's first packet to the first
+	// packet of the answer.
+	LatencyRequest = "passthrough_request_seconds"
+	// LatencyWaiting is how long a request waited for a slot.
+	LatencyWaiting = "passthrough_waiting_seconds"
+)
+
 // phase is how far a flow is.
 type phase uint8
 
@@ -224,6 +236,10 @@
 	c.actions = append(c.actions, Action{Kind: Count, Counter: Counter{name, reason}})
 }
 
+func (c *Core) observe(name, reason string, d time.Duration) {
+	c.actions = append(c.actions, Action{Kind: Observe, Counter: Counter{name, reason}, Latency: d})
+}
+
 func (c *Core) send(to netip.AddrPort, m steerwire.Message) {
 	c.actions = append(c.actions, Action{Kind: SendMessage, To: to, Message: m})
 }
--- a/internal/passthrough/requests.go
+++ b/internal/passthrough/requests.go
@@ -82,6 +82,7 @@
 			continue
 		}
 		c.count(CounterWaiting, "started")
+		c.observe(LatencyWaiting, "started", now.Sub(r.Arrived))
 		c.log(Entry{Event: "request_started", Flow: r.Flow, Reason: "slot_free", Age: now.Sub(r.Arrived)})
 		packets, segments := f.kept, f.keptSegments
 		f.kept, f.keptSegments = nil, nil
@@ -108,6 +109,7 @@
 	c.swept = now
 	for _, r := range c.queue.Expire(now) {
 		c.count(CounterWaiting, "expired")
+		c.observe(LatencyWaiting, "expired", now.Sub(r.Arrived))
 		c.log(Entry{Event: "request_expired", Flow: r.Flow, Reason: "deadline", Age: now.Sub(r.Arrived)})
 		if f := c.flows[r.Flow]; f != nil {
 			f.kept, f.keptSegments = nil, nil
--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -138,6 +138,7 @@
 		f.service = t.report.Service
 	}
 	c.flows[key] = f
+	c.observe(LatencySearch, "held", now.Sub(a.first))
 	c.log(Entry{Event: "found", Flow: key, Service: f.service, Target: target, Reason: reason, Version: c.version(), Age: now.Sub(a.at), Detail: a.rounds})
 	for _, p := range a.packets {
 		c.forward(key, target, f.service, p)
--- /dev/null
+++ b/internal/steer/decisions.go
@@ -0,0 +1,79 @@
+package steer
+
+import (
+	"maps"
+	"net/netip"
+	"time"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/config"
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+)
+
+// Decisions are the decision files in effect. They stand above the operator's
+// configuration: a service that claims an address takes the new flows of that
+// address, and drains and weights of targets and data centres apply to placing.
+type Decisions struct {
+	// Revision is that of the store when the files were read.
+	Revision uint64
+	Digest   uint64 // hash of the files, 0 for none
+	Files    *config.Snapshot
+}
+
+// Decisions returns the decision files in effect.
+func (c *Core) Decisions() Decisions { return c.decisions }
+
+// SetDecisions puts decision files into effect unless they are older than the present ones.
+func (c *Core) SetDecisions(now time.Time, d Decisions) []Action {
+	c.actions = c.actions[:0]
+	if d.Revision <= c.decisions.Revision {
+		return nil
+	}
+	if d.Digest == c.decisions.Digest {
+		c.decisions.Revision = d.Revision
+		return nil
+	}
+	c.decisions = d
+	for _, t := range c.targets {
+		c.override(t)
+	}
+	if c.base != nil {
+		c.replaceConfig(now, c.base)
+	}
+	return c.actions
+}
+
+// override notes what the decision files say about a target.
+func (c *Core) override(t *target) {
+	t.override = config.Override{Weight: 1}
+	if c.decisions.Files != nil {
+		t.override = c.decisions.Files.Effective(t.report.DataCentre, t.report.Node)
+	}
+}
+
+// apply returns a configuration with the addresses that services claim
+// in decision files. An address that the configuration has too keeps the terms of
+// its requests.
+func (d Decisions) apply(base *Config) *Config {
+	if d.Files == nil || d.Files.NumServices() == 0 {
+		return base
+	}
+	out := *base
+	out.Routes = maps.Clone(base.Routes)
+	if out.Routes == nil {
+		out.Routes = make(map[netip.AddrPort]Route)
+	}
+	for _, s := range d.Files.Services() {
+		for _, a := range s.Addresses {
+			if a.Proto != model.TCP {
+				continue // flows of this mode are TCP only
+			}
+			r, known := out.Routes[a.Addr]
+			if !known {
+				r.Name, r.Terms.Deadline = string(s.Name), s.Policy.Deadline
+			}
+			r.Shares = []Share{{Service: s.Name, Weight: 1}}
+			out.Routes[a.Addr] = r
+		}
+	}
+	return &out
+}
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -232,11 +232,18 @@
 }
 
 // opened notes that a target answered an opening packet.
-func (c *Core) opened(from netip.AddrPort, o steerwire.Opened) {
+func (c *Core) opened(now time.Time, from netip.AddrPort, o steerwire.Opened) {
 	f := c.flows[o.Flow]
 	if f == nil || f.opened {
 		return
 	}
+	if f.pending {
+		reason := "first_target"
+		if f.ntried > 1 {
+			reason = "later_target"
+		}
+		c.observe(LatencyOpen, reason, now.Sub(f.at))
+	}
 	f.target, f.opened, f.pending = from, true, false
 	f.syn = nil
 }
--- a/internal/steer/returns.go
+++ b/internal/steer/returns.go
@@ -52,6 +52,7 @@
 		for _, key := range c.returns[s].Release(now, c.capacity(now, s), returnBound) {
 			r := c.returning[key]
 			delete(c.returning, key)
+			c.observe(LatencySearch, "no_holder", now.Sub(r.since))
 			c.log(Entry{Event: "reset", Flow: key, Service: s, Reason: "no_holder", Version: c.version(), Age: now.Sub(r.since)})
 			c.reset(key, r.ack, "no_holder")
 		}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -115,6 +115,8 @@
 	Log
 	// Count raises a counter.
 	Count
+	// Observe adds Latency to the histogram that Counter names.
+	Observe
 )
 
 // Action is what the runtime does. Slices alias the packet given to the core or
@@ -130,6 +132,7 @@
 	Ack     uint32
 	Entry   Entry
 	Counter Counter
+	Latency time.Duration
 }
 
 // Entry is one decision for the log.
@@ -155,6 +158,15 @@
 	CounterAsked   = "steer_asks"
 )
 
+// The latency histograms of the core.
+const (
+	// LatencyOpen is from the last opening packet sent to the target's answer.
+	LatencyOpen = "steer_open_seconds"
+	// LatencySearch is from the first packet of a flow without a known target to the
+	// end of the search.
+	LatencySearch = "steer_search_seconds"
+)
+
 // Config is a configuration as the core uses it.
 type Config struct {
 	Revision uint64 // of the store
@@ -225,11 +237,13 @@
 
 // Core is the state of one balancer.
 type Core struct {
-	o       Options
-	config  *Config
-	former  map[netip.AddrPort][]Share // services that addresses led to earlier
-	started time.Time
-	random  uint64
+	o         Options
+	base      *Config // the operator's configuration
+	config    *Config // base with the decision files above it
+	decisions Decisions
+	former    map[netip.AddrPort][]Share // services that addresses led to earlier
+	started   time.Time
+	random    uint64
 
 	flows      map[model.Flow]*flow
 	opens      []pendingOpen // in order of time
@@ -275,18 +289,25 @@
 // SetConfig puts a configuration into effect unless it is older than the present one.
 func (c *Core) SetConfig(now time.Time, next *Config) []Action {
 	c.actions = c.actions[:0]
-	if c.config != nil && next.Revision <= c.config.Revision {
+	if c.base != nil && next.Revision <= c.base.Revision {
 		return nil
 	}
+	c.replaceConfig(now, next)
+	return c.actions
+}
+
+// replaceConfig puts the operator's configuration into effect with the decision
+// files above it.
+func (c *Core) replaceConfig(now time.Time, base *Config) {
+	next := c.decisions.apply(base)
 	c.log(Entry{Event: "configuration", Version: next.Version, Detail: next.routeCount()})
 	c.keepFormer(next)
-	c.config = next
+	c.base, c.config = base, next
 	c.replayEarly(now)
 	// Peers that the store refuses learn the revision from hellos; sending them
 	// at once keeps the spread within the propagation bound.
 	c.peerHello = now
 	c.helloBalancers(now)
-	return c.actions
 }
 
 // earlyPacket came before the first configuration.
@@ -387,6 +408,10 @@
 	c.actions = append(c.actions, Action{Kind: Count, Counter: Counter{name, reason}})
 }
 
+func (c *Core) observe(name, reason string, d time.Duration) {
+	c.actions = append(c.actions, Action{Kind: Observe, Counter: Counter{name, reason}, Latency: d})
+}
+
 func (c *Core) send(to netip.AddrPort, m steerwire.Message) {
 	c.actions = append(c.actions, Action{Kind: SendMessage, To: to, Message: m})
 }
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -38,7 +38,7 @@
 	return segment.Segment{Flow: flowOf(port), Flags: segment.ACK, Seq: 101, Ack: 501, DataLen: 50}
 }
 
-func config(revision uint64, services ...model.ServiceName) *Config {
+func configOf(revision uint64, services ...model.ServiceName) *Config {
 	c := &Config{Revision: revision, Version: int64(revision), IdleTimeout: 15 * time.Second, Routes: map[netip.AddrPort]Route{}}
 	if len(services) > 0 {
 		r := Route{Name: "r"}
@@ -52,7 +52,7 @@
 
 func newCore(agents ...netip.AddrPort) *Core {
 	c := New(start, Options{Node: "b1", Incarnation: 1, DataCentre: "dc-1", FlowTTL: time.Minute})
-	c.SetConfig(start, config(1, "alpha"))
+	c.SetConfig(start, configOf(1, "alpha"))
 	c.SetAgents(start, agents, time.Time{})
 	return c
 }
@@ -133,7 +133,7 @@
 	is := is.New(t)
 	c := newCore(agentA)
 	ready(c, start, 1, agentA)
-	c.SetConfig(start, config(2))
+	c.SetConfig(start, configOf(2))
 	is.True(has(c.Packet(start, syn(1), raw), ResetCaller))
 }
 
@@ -141,9 +141,9 @@
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	is := is.New(t)
 	c := newCore(agentA)
-	c.SetConfig(start, config(5, "beta"))
-	c.SetConfig(start, config(4, "alpha"))
-	c.SetConfig(start, config(5, "alpha"))
+	c.SetConfig(start, configOf(5, "beta"))
+	c.SetConfig(start, configOf(4, "alpha"))
+	c.SetConfig(start, configOf(5, "alpha"))
 	is.Equal(c.Config().Routes[route].Shares[0].Service, model.ServiceName("beta"))
 }
 
@@ -209,7 +209,7 @@
 	ready(c, start, 1, agentA)
 	is.Equal(len(sent(c.Packet(ms(1), syn(1), raw))), 0)
 	is.Equal(len(sent(c.Packet(ms(210), syn(2), raw))), 0)
-	got := sent(c.SetConfig(ms(220), config(1, "alpha")))
+	got := sent(c.SetConfig(ms(220), configOf(1, "alpha")))
 	is.Equal(got, []netip.AddrPort{agentA}) // the first is older than a caller's copy
 }
 
@@ -352,7 +352,7 @@
 	}
 	is.True(!has(hello(ms(1), 1), FetchConfig))
 	is.True(has(hello(ms(2), 2), FetchConfig))
-	c.SetConfig(ms(3), config(2, "alpha"))
+	c.SetConfig(ms(3), configOf(2, "alpha"))
 	is.True(!has(hello(ms(400), 2), FetchConfig))
 }
 
@@ -384,7 +384,7 @@
 	c := New(start, Options{Node: "b1"})
 	_, why := c.Ready(start)
 	is.Equal(why, "no_configuration")
-	c.SetConfig(start, config(1, "alpha"))
+	c.SetConfig(start, configOf(1, "alpha"))
 	_, why = c.Ready(start)
 	is.Equal(why, "no_agent")
 	ready(c, start, 1, agentA)
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/config"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
@@ -18,8 +19,9 @@
 	noted        time.Time // when its address became known
 	ever         bool      // has reported
 	report       steerwire.Report
-	at           time.Time // of the last report
-	first        time.Time // when the agent was first heard, in this incarnation
+	override     config.Override // by decision files
+	at           time.Time       // of the last report
+	first        time.Time       // when the agent was first heard, in this incarnation
 	coldUntil    time.Time
 	assigned     float64 // flows placed since the last report
 	suspectUntil time.Time
@@ -62,7 +64,7 @@
 // takesFlows reports whether a new flow may go to the target. suspects admits
 // those that were silent lately.
 func (c *Core) takesFlows(now time.Time, t *target, suspects bool) bool {
-	if !t.ever || t.report.State != steerwire.TargetReady {
+	if !t.ever || t.report.State != steerwire.TargetReady || t.override.Drain {
 		return false
 	}
 	return suspects || c.reachable(now, t) && !now.Before(t.suspectUntil)
@@ -70,7 +72,7 @@
 
 func (t *target) candidate(now time.Time, dc model.DataCentre) leastload.Candidate {
 	return leastload.Candidate{
-		Slots: t.report.Slots, Busy: float64(t.report.BusyCenti) / 100, Flows: t.report.Flows,
+		Slots: t.report.Slots, Weight: t.override.Weight, Busy: float64(t.report.BusyCenti) / 100, Flows: t.report.Flows,
 		Assigned: t.assigned, Cold: now.Before(t.coldUntil), Remote: t.report.DataCentre != dc,
 	}
 }
@@ -82,6 +84,7 @@
 	noted       time.Time // when its address became known
 	incarnation model.Incarnation
 	revision    uint64
+	decisions   Decisions // revision and digest of its decision files
 	wantsAgents bool
 	seed        bool
 	lost        []netip.AddrPort // agents that it has lost
@@ -116,7 +119,7 @@
 }
 
 func (c *Core) helloMessage(reply bool) steerwire.Message {
-	m := steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: c.o.Node, Incarnation: c.o.Incarnation, Reply: reply}}
+	m := steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: c.o.Node, Incarnation: c.o.Incarnation, Reply: reply, Decisions: c.decisions.Revision, DecisionDigest: c.decisions.Digest}}
 	if c.config != nil {
 		m.Hello.Revision = c.config.Revision
 	}
@@ -130,7 +133,7 @@
 	case steerwire.KindRefuse:
 		c.refused(now, from, m.Refuse, s)
 	case steerwire.KindOpened:
-		c.opened(from, m.Opened)
+		c.opened(now, from, m.Opened)
 	case steerwire.KindAnswer:
 		for _, v := range m.Answer.Verdicts {
 			c.answered(now, from, v)
@@ -167,6 +170,9 @@
 	}
 	t.ever, t.report, t.at = true, r, now
 	t.report.Balancers = nil
+	if old.Node != r.Node || old.DataCentre != r.DataCentre || t.override.Weight == 0 {
+		c.override(t)
+	}
 	t.assigned = 0
 	t.suspectUntil = time.Time{}
 	t.coldUntil = now.Add(time.Duration(r.ColdMillis) * time.Millisecond)
@@ -219,6 +225,9 @@
 	}
 	p.heard, p.incarnation, p.wantsAgents = now, h.Incarnation, h.WantAgents
 	p.revision = max(p.revision, h.Revision)
+	if h.Decisions > p.decisions.Revision {
+		p.decisions = Decisions{Revision: h.Decisions, Digest: h.DecisionDigest}
+	}
 	p.lost = h.Lost
 	for _, a := range h.Agents {
 		c.noteAgent(now, a)
@@ -229,18 +238,20 @@
 	c.wantConfig(now)
 }
 
-// wantConfig asks a peer for a configuration that is newer than the own one.
+// wantConfig asks a peer for a configuration or decision files that are newer than
+// the own ones.
 func (c *Core) wantConfig(now time.Time) {
 	if now.Sub(c.fetching) < helloInterval {
 		return
 	}
 	var own uint64
-	if c.config != nil {
-		own = c.config.Revision
+	if c.base != nil {
+		own = c.base.Revision
 	}
 	best := netip.AddrPort{}
 	for _, p := range c.peers {
-		if p.revision > own && now.Sub(p.heard) < peerTimeout && (!best.IsValid() || p.addr.Compare(best) < 0) {
+		newer := p.revision > own || p.decisions.Revision > c.decisions.Revision && p.decisions.Digest != c.decisions.Digest
+		if newer && now.Sub(p.heard) < peerTimeout && (!best.IsValid() || p.addr.Compare(best) < 0) {
 			best = p.addr
 		}
 	}
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -172,8 +172,10 @@
 	// Lost are agents that the sender has not heard for long, for other balancers:
 	// what all of them lost is gone, what one lost may be its own fault.
 	Lost []netip.AddrPort `cbor:"7,keyasint,omitempty"`
-	// Decisions is the store revision of the decision files in effect, 0 for none read.
-	Decisions uint64 `cbor:"8,keyasint,omitzero"`
+	// Decisions is the store revision at which the decision files in effect were read,
+	// DecisionDigest a hash of them, 0 for no files.
+	Decisions      uint64 `cbor:"8,keyasint,omitzero"`
+	DecisionDigest uint64 `cbor:"9,keyasint,omitzero"`
 }
 
 // TargetState is what an agent says of its target.
--- a/internal/steerwire/steerwire_test.go
+++ b/internal/steerwire/steerwire_test.go
@@ -23,7 +23,7 @@
 		{Kind: KindOpened, Opened: Opened{Flow: flow}},
 		{Kind: KindAsk, Ask: Ask{Questions: []Question{{Flow: flow, Ack: 5}}}},
 		{Kind: KindAnswer, Answer: Answer{Verdicts: []Verdict{{Flow: flow, Holding: Unsure}}}},
-		{Kind: KindHello, Hello: Hello{Node: "b", Incarnation: 1, Revision: 2, Agents: []netip.AddrPort{flow.Src}, WantAgents: true, Decisions: 5}},
+		{Kind: KindHello, Hello: Hello{Node: "b", Incarnation: 1, Revision: 2, Agents: []netip.AddrPort{flow.Src}, WantAgents: true, Decisions: 5, DecisionDigest: 6}},
 		{Kind: KindReport, Report: Report{Node: "a", Incarnation: 1, Sequence: 2, Service: "s", State: TargetReady, Slots: 3, BusyCenti: 150, BornMillis: 9, Empty: true}},
 	}
 }
--- a/internal/strategy/leastload/leastload.go
+++ b/internal/strategy/leastload/leastload.go
@@ -18,6 +18,7 @@
 // Candidate is a target that may take the flow.
 type Candidate struct {
 	Slots    int     // requests that it runs at once
+	Weight   float64 // share of new flows, set by operators; 0 counts as 1
 	Busy     float64 // average number of requests in progress, running or queued
 	Flows    int     // open flows
 	Assigned float64 // flows placed since Busy and Flows were reported
@@ -34,6 +35,9 @@
 	}
 	expected := (c.Busy + flowShare*float64(c.Flows)) / 2
 	cost := (expected + (c.Assigned+1)*assignedShare) / float64(c.Slots)
+	if c.Weight > 0 {
+		cost /= c.Weight
+	}
 	if c.Cold {
 		cost *= coldSlowdown
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -42,16 +42,21 @@
 	return l.With("process", process, "node", node), nil
 }
 
-// Metrics holds the counters of one process. Counters share one instrument per
-// name and differ by their reason attribute.
+// latencyBounds are the upper bounds of the histogram buckets in seconds: from the
+// time that a packet takes between two VMs to the longest deadline of a request.
+var latencyBounds = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4}
+
+// Metrics holds the counters and latency histograms of one process. They share one
+// instrument per name and differ by their reason attribute.
 type Metrics struct {
 	meter    metric.Meter
 	registry *prometheus.Registry
 
 	mu       sync.Mutex
 	counters map[string]metric.Int64Counter
+	latency  map[string]metric.Float64Histogram
 	totals   map[CounterKey]uint64
-	reasons  map[string]metric.AddOption // built once for each reason
+	reasons  map[string]metric.MeasurementOption // built once for each reason
 }
 
 // CounterKey names one count: an instrument and the reason it was raised for.
@@ -72,8 +77,9 @@
 		meter:    provider.Meter("github.com/bulrushshelf/bulrushshelf/" + process),
 		registry: registry,
 		counters: make(map[string]metric.Int64Counter),
+		latency:  make(map[string]metric.Float64Histogram),
 		totals:   make(map[CounterKey]uint64),
-		reasons:  make(map[string]metric.AddOption),
+		reasons:  make(map[string]metric.MeasurementOption),
 	}, nil
 }
 
@@ -90,13 +96,37 @@
 		m.counters[name] = c
 	}
 	m.totals[CounterKey{Name: name, Reason: reason}] += uint64(n)
+	option := m.reason(reason)
+	m.mu.Unlock()
+	c.Add(context.Background(), n, option)
+}
+
+// reason returns the attribute of a reason. The caller holds the lock.
+func (m *Metrics) reason(reason string) metric.MeasurementOption {
 	option, ok := m.reasons[reason]
 	if !ok {
 		option = metric.WithAttributeSet(attribute.NewSet(attribute.String("reason", reason)))
 		m.reasons[reason] = option
 	}
+	return option
+}
+
+// Observe adds a latency to the histogram name, in seconds, for a reason.
+func (m *Metrics) Observe(name, reason string, d time.Duration) {
+	m.mu.Lock()
+	h, ok := m.latency[name]
+	if !ok {
+		var err error
+		h, err = m.meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(latencyBounds...))
+		if err != nil {
+			m.mu.Unlock()
+			return // an invalid name is caught by the test of the name list
+		}
+		m.latency[name] = h
+	}
+	option := m.reason(reason)
 	m.mu.Unlock()
-	c.Add(context.Background(), n, option)
+	h.Record(context.Background(), d.Seconds(), option)
 }
 
 // Totals returns a copy of all counts.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -27,6 +28,21 @@
 	is.True(strings.Contains(body, `reason="wrong_service"`))
 }
 
+// Guards against latencies that a scrape shows in another unit or bucket.
+func TestLatenciesAreExportedInSeconds(t *testing.T) {
+	is := is.New(t)
+	m, err := NewMetrics("test")
+	is.NoErr(err)
+	m.Observe("search_seconds", "found", 3*time.Millisecond)
+	m.Observe("search_seconds", "found", 2*time.Second)
+	rec := httptest.NewRecorder()
+	promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}).ServeHTTP(rec, httptest.NewRequest("GET", "/metrics", nil))
+	body := rec.Body.String()
+	for _, want := range []string{`le="0.0025"} 0`, `le="0.005"} 1`, `le="1.6"} 1`, `le="3.2"} 2`, `} 2.003`} {
+		is.True(strings.Contains(body, want))
+	}
+}
+
 // Guards against log lines that a JSON reader cannot take.
 func TestLogLinesAreJSON(t *testing.T) {
 	is := is.New(t)
