steer: balancers of the data centre are asked for a flow before the agents

Cause: routers that hash by number move nearly all flows of a data centre when a balancer joins or leaves.

The balancers of the data centre that are heard are asked first and answer from their own table. A hint that is wrong costs one round trip: agents deliver only what their targets hold. One that does not answer within 20 ms is left out until it is heard.

TestSearchesLeaveTheLinkFree plays 100 moved flows a second against a tenth of the link; without hints it fails, as do the tests of the order and of silent neighbours.

--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -25,10 +25,12 @@
 	certain bool             // all of asked answered so, for certain
 	last    bool             // the round that decides on a reset
 	again   bool             // not all agents were asked; another round follows
+	hinting []netip.AddrPort // balancers that have not answered; agents are asked after them
 }
 
-// startAsk asks all agents that may hold the flow and keeps the packet.
-func (c *Core) startAsk(now time.Time, s segment.Segment, raw []byte) {
+// startAsk searches for the target of a flow and keeps the packet: it asks all agents
+// that may hold the flow, after the balancers of the data centre if hints is set.
+func (c *Core) startAsk(now time.Time, s segment.Segment, raw []byte, hints bool) {
 	if r, ok := c.returning[s.Flow]; ok {
 		r.ack = s.Ack
 		c.returning[s.Flow] = r
@@ -56,7 +58,9 @@
 	a.packets = append(a.packets, slices.Clone(raw))
 	if a.done {
 		c.count(CounterAsked, "unknown_flow")
-		c.startRound(now, s.Flow, a)
+		if !hints || a.rounds > 0 || !c.askPeers(now, s.Flow, a) {
+			c.startRound(now, s.Flow, a)
+		}
 	}
 }
 
@@ -94,10 +98,11 @@
 
 // flushQuestions sends the questions noted for each agent.
 func (c *Core) flushQuestions(now time.Time) {
-	if len(c.questions) == 0 {
+	if len(c.questions) == 0 && len(c.finds) == 0 {
 		return
 	}
 	c.questioned = now
+	c.flushFinds(now)
 	for _, to := range sortedKeys(c.questions) {
 		for qs := range slices.Chunk(c.questions[to], steerwire.MaxQuestions) {
 			c.send(to, steerwire.Message{Kind: steerwire.KindAsk, Ask: steerwire.Ask{Questions: qs}})
@@ -109,7 +114,7 @@
 // answered takes an agent's answer to one question.
 func (c *Core) answered(now time.Time, from netip.AddrPort, m steerwire.Verdict) {
 	a := c.asks[m.Flow]
-	if a == nil || a.done {
+	if a == nil || a.done || len(a.hinting) > 0 {
 		return
 	}
 	i := slices.Index(a.waiting, from)
@@ -138,7 +143,7 @@
 		f.service = t.report.Service
 	}
 	c.flows[key] = f
-	c.observe(LatencySearch, "held", now.Sub(a.first))
+	c.observe(LatencySearch, reason, now.Sub(a.first))
 	c.log(Entry{Event: "found", Flow: key, Service: f.service, Target: target, Reason: reason, Version: c.version(), Age: now.Sub(a.at), Detail: a.rounds})
 	for _, p := range a.packets {
 		c.forward(key, target, f.service, p)
@@ -291,7 +296,11 @@
 func (c *Core) overdueAsks(now time.Time) {
 	var due []model.Flow
 	for k, a := range c.asks {
-		if now.Sub(a.at) >= askTimeout {
+		timeout := askTimeout
+		if len(a.hinting) > 0 {
+			timeout = hintTimeout
+		}
+		if now.Sub(a.at) >= timeout {
 			due = append(due, k)
 		}
 	}
@@ -299,6 +308,8 @@
 	for _, k := range due {
 		a := c.asks[k]
 		switch {
+		case len(a.hinting) > 0:
+			c.overdueHints(now, k, a)
 		case a.again:
 			a.again = false
 			c.startRound(now, k, a)
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -180,7 +180,7 @@
 		}
 	}
 	if f == nil {
-		c.startAsk(now, s, raw)
+		c.startAsk(now, s, raw, true)
 		return
 	}
 	f.lastSeen, f.ack = now, s.Ack
@@ -228,7 +228,7 @@
 		}
 		delete(c.flows, s.Flow)
 	}
-	c.startAsk(now, s, r.Packet)
+	c.startAsk(now, s, r.Packet, false)
 }
 
 // opened notes that a target answered an opening packet.
--- /dev/null
+++ b/internal/steer/hints_test.go
@@ -0,0 +1,121 @@
+package steer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/segment"
+	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
+)
+
+// neighbour makes a balancer of the data centre known.
+func neighbour(c *Core, addr netip.AddrPort) {
+	c.Message(start, addr, steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: model.NodeID(addr.String()), Incarnation: 1, DataCentre: "dc-1"}}, segment.Segment{})
+}
+
+// messages returns the receivers of the messages of a kind.
+func messages(actions []Action, k steerwire.Kind) (out []netip.AddrPort) {
+	for _, a := range actions {
+		if a.Kind == SendMessage && a.Message.Kind == k {
+			out = append(out, a.To)
+		}
+	}
+	return out
+}
+
+func hint(port uint16, target netip.AddrPort) steerwire.Message {
+	return steerwire.Message{Kind: steerwire.KindHints, Hints: steerwire.Hints{Hints: []steerwire.Hint{{Flow: flowOf(port), Target: target}}}}
+}
+
+// Guards against a search at all agents for each flow that a change of rotation
+// moves, when a balancer next door knows its target; and against trust in a hint
+// that is wrong.
+func TestNeighboursAreAskedFirst(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA, agentB)
+	ready(c, start, 1, agentA, agentB)
+	neighbour(c, peerP)
+	got := c.Packet(ms(20), data(1), raw)
+	is.Equal(messages(got, steerwire.KindFind), []netip.AddrPort{peerP})
+	is.Equal(asked(got), 0)
+	is.Equal(sent(c.Message(ms(21), peerP, hint(1, agentB), segment.Segment{})), []netip.AddrPort{agentB})
+	is.Equal(sent(c.Packet(ms(22), data(1), raw)), []netip.AddrPort{agentB})
+
+	got = refuse(c, ms(23), agentB, data(1), steerwire.ReasonNotHeld)
+	is.Equal(askedSoon(c, ms(23), got), 2) // and the neighbour is not asked again
+	answer(c, ms(35), agentB, flowOf(1), steerwire.NotHeld)
+	is.Equal(sent(answer(c, ms(36), agentA, flowOf(1), steerwire.Held)), []netip.AddrPort{agentA})
+
+	c.Packet(ms(60), data(2), raw)
+	is.Equal(askedSoon(c, ms(61), c.Message(ms(61), peerP, hint(2, netip.AddrPort{}), segment.Segment{})), 2) // it does not know either
+}
+
+// Guards against searches that wait for a balancer that ended, one after the other.
+func TestSilentNeighbourIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA)
+	ready(c, start, 1, agentA)
+	neighbour(c, peerP)
+	c.Packet(ms(20), data(1), raw)
+	is.Equal(asked(c.Tick(ms(30))), 0)
+	got := c.Tick(ms(41))
+	is.Equal(askedSoon(c, ms(41), got), 1)
+	is.Equal(askedSoon(c, ms(60), c.Packet(ms(60), data(2), raw)), 1) // at once
+	neighbour(c, peerP)
+	is.Equal(len(messages(c.Packet(ms(80), data(3), raw), steerwire.KindFind)), 1)
+}
+
+// Guards against hints on flows whose opening is not answered yet, which the caller
+// may end up with elsewhere.
+func TestHintsOnOpenFlowsOnly(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA)
+	ready(c, start, 1, agentA)
+	find := func() netip.AddrPort {
+		got := c.Message(ms(2), peerP, steerwire.Message{Kind: steerwire.KindFind, Ask: steerwire.Ask{Questions: []steerwire.Question{{Flow: flowOf(1)}}}}, segment.Segment{})
+		return got[len(got)-1].Message.Hints.Hints[0].Target
+	}
+	c.Packet(start, syn(1), raw)
+	is.True(!find().IsValid())
+	c.Message(ms(3), agentA, steerwire.Message{Kind: steerwire.KindOpened, Opened: steerwire.Opened{Flow: flowOf(1)}}, segment.Segment{})
+	is.Equal(find(), agentA)
+}
+
+// Plays a change of rotation on a data centre with five balancers, one of which has a
+// link of 10 Mbit/s, and 54 agents, as at podas-edge-grown: 100 flows a second move to
+// it. Guards against searches that fill its link; they may take a tenth of it.
+func TestSearchesLeaveTheLinkFree(t *testing.T) {
+	is := is.New(t)
+	const flows, linkShare = 100, 10_000_000 / 8 / 10 // bytes in the second
+	var agents []netip.AddrPort
+	for i := range 54 {
+		agents = append(agents, netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:7000", i+1)))
+	}
+	c := newCore(agents...)
+	ready(c, start, 1, agents...)
+	for i := range 4 {
+		neighbour(c, netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", i+2)))
+	}
+	sentBytes := 0
+	count := func(actions []Action) {
+		for _, a := range actions {
+			if a.Kind != SendMessage || a.Message.Kind == steerwire.KindHello {
+				continue
+			}
+			b, err := steerwire.Append(nil, a.Message)
+			is.NoErr(err)
+			sentBytes += len(b)
+		}
+	}
+	for i := range flows {
+		now := ms(20 + 10*i)
+		count(c.Packet(now, data(uint16(i+1)), raw))
+		count(c.Message(now.Add(1e6), netip.MustParseAddrPort("10.0.0.2:7000"), hint(uint16(i+1), agents[i%len(agents)]), segment.Segment{}))
+	}
+	is.True(sentBytes > 0)
+	is.True(sentBytes <= linkShare)
+}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -258,6 +258,7 @@
 	peerHello  time.Time                               // of the last hellos to balancers
 	tellPeers  bool                                    // an agent is new
 	questions  map[netip.AddrPort][]steerwire.Question // noted for each agent
+	finds      []steerwire.Question                    // noted for the balancers of the data centre
 	questioned time.Time                               // of the last questions sent
 	sweep      time.Time                               // of the last search for idle flows
 	tick       time.Time
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -87,6 +87,8 @@
 	decisions   Decisions // revision and digest of its decision files
 	wantsAgents bool
 	seed        bool
+	dataCentre  model.DataCentre
+	muted       bool             // did not answer a question; it is not asked before it is heard
 	lost        []netip.AddrPort // agents that it has lost
 }
 
@@ -138,6 +140,10 @@
 		for _, v := range m.Answer.Verdicts {
 			c.answered(now, from, v)
 		}
+	case steerwire.KindFind:
+		c.find(now, from, m.Ask)
+	case steerwire.KindHints:
+		c.hinted(now, from, m.Hints)
 	case steerwire.KindReport:
 		c.reported(now, from, m.Report)
 	case steerwire.KindHello:
@@ -228,7 +234,7 @@
 	if h.Decisions > p.decisions.Revision {
 		p.decisions = Decisions{Revision: h.Decisions, Digest: h.DecisionDigest}
 	}
-	p.lost = h.Lost
+	p.lost, p.dataCentre, p.muted = h.Lost, h.DataCentre, false
 	for _, a := range h.Agents {
 		c.noteAgent(now, a)
 	}
@@ -264,6 +270,7 @@
 // helloTo returns the hello for a balancer, with the agents that it may lack.
 func (c *Core) helloTo(now time.Time, p *peer, reply bool) steerwire.Message {
 	m := c.helloMessage(reply)
+	m.Hello.DataCentre = c.o.DataCentre
 	m.Hello.WantAgents = now.Sub(c.started) < startTimeout
 	for _, t := range c.targets {
 		if t.lost(now) && len(m.Hello.Lost) < steerwire.MaxPeers {
@@ -376,7 +383,7 @@
 	if c.tellPeers {
 		next = earlier(next, c.peerHello.Add(tellPause))
 	}
-	if len(c.questions) > 0 {
+	if len(c.questions) > 0 || len(c.finds) > 0 {
 		next = earlier(next, c.questioned.Add(askBatch))
 	}
 	if len(c.opens) > 0 {
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -50,6 +50,8 @@
 	KindAnswer                  // agent to balancer
 	KindHello                   // balancer to agents and balancers
 	KindReport                  // agent to balancers
+	KindFind                    // balancer to balancers of its data centre: which target has the flow?
+	KindHints                   // the answer
 )
 
 // Reason tells why an agent hands a packet back.
@@ -157,6 +159,17 @@
 	Verdicts []Verdict `cbor:"1,keyasint"`
 }
 
+// Hint tells which target has a flow, as a balancer remembers it.
+type Hint struct {
+	Flow   model.Flow     `cbor:"1,keyasint"`
+	Target netip.AddrPort `cbor:"2,keyasint,omitzero"` // invalid for an unknown flow
+}
+
+// Hints answers the questions of a KindFind, one by one.
+type Hints struct {
+	Hints []Hint `cbor:"1,keyasint"`
+}
+
 // Hello tells a peer that its sender lives and asks an agent for a Report.
 type Hello struct {
 	Node        model.NodeID      `cbor:"1,keyasint"`
@@ -176,6 +189,8 @@
 	// DecisionDigest a hash of them, 0 for no files.
 	Decisions      uint64 `cbor:"8,keyasint,omitzero"`
 	DecisionDigest uint64 `cbor:"9,keyasint,omitzero"`
+	// DataCentre is that of a balancer, for other balancers.
+	DataCentre model.DataCentre `cbor:"10,keyasint,omitzero"`
 }
 
 // TargetState is what an agent says of its target.
@@ -227,8 +242,9 @@
 	Forward Forward
 	Refuse  Refuse
 	Opened  Opened
-	Ask     Ask
+	Ask     Ask // also of a KindFind
 	Answer  Answer
+	Hints   Hints
 	Hello   Hello
 	Report  Report
 }
@@ -258,8 +274,10 @@
 		return AppendRefuse(dst, m.Refuse), nil
 	case KindOpened:
 		body = m.Opened
-	case KindAsk:
+	case KindAsk, KindFind:
 		body = m.Ask
+	case KindHints:
+		body = m.Hints
 	case KindAnswer:
 		body = m.Answer
 	case KindHello:
@@ -297,8 +315,10 @@
 		return m, nil
 	case KindOpened:
 		body = &m.Opened
-	case KindAsk:
+	case KindAsk, KindFind:
 		body = &m.Ask
+	case KindHints:
+		body = &m.Hints
 	case KindAnswer:
 		body = &m.Answer
 	case KindHello:
--- a/internal/steerwire/steerwire_test.go
+++ b/internal/steerwire/steerwire_test.go
@@ -23,7 +23,9 @@
 		{Kind: KindOpened, Opened: Opened{Flow: flow}},
 		{Kind: KindAsk, Ask: Ask{Questions: []Question{{Flow: flow, Ack: 5}}}},
 		{Kind: KindAnswer, Answer: Answer{Verdicts: []Verdict{{Flow: flow, Holding: Unsure}}}},
-		{Kind: KindHello, Hello: Hello{Node: "b", Incarnation: 1, Revision: 2, Agents: []netip.AddrPort{flow.Src}, WantAgents: true, Decisions: 5, DecisionDigest: 6}},
+		{Kind: KindFind, Ask: Ask{Questions: []Question{{Flow: flow}}}},
+		{Kind: KindHints, Hints: Hints{Hints: []Hint{{Flow: flow, Target: flow.Dst}, {Flow: flow}}}},
+		{Kind: KindHello, Hello: Hello{Node: "b", Incarnation: 1, Revision: 2, Agents: []netip.AddrPort{flow.Src}, WantAgents: true, Decisions: 5, DecisionDigest: 6, DataCentre: "dc"}},
 		{Kind: KindReport, Report: Report{Node: "a", Incarnation: 1, Sequence: 2, Service: "s", State: TargetReady, Slots: 3, BusyCenti: 150, BornMillis: 9, Empty: true}},
 	}
 }
@@ -72,6 +74,13 @@
 	b, err = Append(nil, Message{Kind: KindAsk, Ask: Ask{Questions: questions}})
 	is.NoErr(err)
 	is.True(len(b) <= MaxMessage)
+	hints := make([]Hint, MaxQuestions)
+	for i := range hints {
+		hints[i] = Hint{Flow: flow, Target: netip.MustParseAddrPort("255.255.255.255:65535")}
+	}
+	b, err = Append(nil, Message{Kind: KindHints, Hints: Hints{Hints: hints}})
+	is.NoErr(err)
+	is.True(len(b) <= MaxMessage)
 }
 
 func FuzzDecode(f *testing.F) {
