steer: searches do not fill the links of small balancers

One agent that the store listed did not come back, so no flow could be proven to be over for 4.6 s (2.5 s, and a hello of each balancer). Meanwhile each copy of a packet was asked about at all 50 agents again, three rounds of 100 bytes each way: about 12 Mbit/s a balancer, which is the link of the small ones. Openings timed out at 60 ms there (500 a second).

Ruled out: the targets (few requests waited for a slot), the processor (at most 0.08 of 0.192 cores), strong balancers (no opening timed out there).

- An agent that denied a flow for certain is not asked about it again.
- A listed agent that was never heard counts as lost after 1.5 s, and a loss is told to other balancers at once.
- Questions, verdicts and hints are packed: 17, 13 and 13 to 19 bytes.

--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -22,6 +22,9 @@
 	rounds  int
 	done    bool             // no agent holds the flow
 	asked   []netip.AddrPort // agents asked in this search, in order
+	// denied are agents that are certain that their targets do not hold the flow. That
+	// stays so: a flow is opened once, so they are not asked again.
+	denied  map[netip.AddrPort]bool
 	certain bool             // all of asked answered so, for certain
 	last    bool             // the round that decides on a reset
 	again   bool             // not all agents were asked; another round follows
@@ -43,7 +46,7 @@
 			c.count(CounterDropped, "ask_table_full")
 			return
 		}
-		a = &ask{first: now, done: true}
+		a = &ask{first: now, done: true, denied: make(map[netip.AddrPort]bool)}
 		c.asks[s.Flow] = a
 	}
 	a.ack = s.Ack
@@ -66,8 +69,17 @@
 
 func (c *Core) startRound(now time.Time, key model.Flow, a *ask) {
 	a.asked = c.possibleHolders(now)
-	a.waiting, a.unsure, a.done = slices.Clone(a.asked), a.unsure[:0], false
+	a.waiting, a.unsure, a.done = a.waiting[:0], a.unsure[:0], false
+	for _, to := range a.asked {
+		if !a.denied[to] {
+			a.waiting = append(a.waiting, to)
+		}
+	}
 	a.at, a.rounds = now, 1
+	if len(a.waiting) == 0 {
+		c.conclude(now, key, a)
+		return
+	}
 	c.sendAsks(now, key, a)
 }
 
@@ -125,6 +137,8 @@
 	case steerwire.Held:
 		c.found(now, m.Flow, a, from, "held")
 		return
+	case steerwire.NotHeld:
+		a.denied[from] = true
 	case steerwire.Unsure:
 		if i >= 0 {
 			a.unsure = append(a.unsure, from)
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -43,6 +43,7 @@
 		}
 		f = &flow{service: route.service(s.Flow.Hash())}
 		c.flows[s.Flow] = f
+		delete(c.asks, s.Flow) // of an earlier flow from the same port
 	}
 	f.syn = append(f.syn[:0], raw...)
 	f.lastSeen = now
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -63,6 +63,9 @@
 	// holder of flows: longer than any planned restart takes. Whether its target
 	// lives or not, packets do not reach it from here.
 	lostAfter = 2500 * time.Millisecond
+	// unheardAfter is the same for a listed agent that has not reported since it became
+	// known: its VM may be gone. A planned restart of an agent takes 1 s.
+	unheardAfter = 1500 * time.Millisecond
 	// silentAfter is when a search goes on without a known agent that has never
 	// answered: two hellos, and the start of an agent. The store lists agents whose VMs
 	// died until their addresses are used again, and callers would wait lostAfter.
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -18,6 +18,7 @@
 	listed       bool      // in the store
 	noted        time.Time // when its address became known
 	ever         bool      // has reported
+	lossTold     bool      // hellos to balancers named it as lost
 	report       steerwire.Report
 	override     config.Override // by decision files
 	at           time.Time       // of the last report
@@ -33,11 +34,10 @@
 
 // lost reports whether the agent has been silent for longer than a restart takes.
 func (t *target) lost(now time.Time) bool {
-	last := t.at
 	if !t.ever {
-		last = t.noted
+		return now.Sub(t.noted) >= unheardAfter
 	}
-	return now.Sub(last) >= lostAfter
+	return now.Sub(t.at) >= lostAfter
 }
 
 // gone reports whether the agent is lost to all balancers. An agent that only this
@@ -174,7 +174,7 @@
 		t.first = now
 		c.tellPeers = true
 	}
-	t.ever, t.report, t.at = true, r, now
+	t.ever, t.lossTold, t.report, t.at = true, false, r, now
 	t.report.Balancers = nil
 	if old.Node != r.Node || old.DataCentre != r.DataCentre || t.override.Weight == 0 {
 		c.override(t)
@@ -343,6 +343,9 @@
 		if t.ever && !c.reachable(now, t) && now.Sub(t.at) < c.reportTimeout()+c.agentInterval() {
 			c.log(Entry{Event: "lost", Service: t.report.Service, Target: a, Reason: "no_report", Age: now.Sub(t.at)})
 		}
+		if t.lost(now) && !t.lossTold {
+			t.lossTold, c.tellPeers = true, true
+		}
 		if !t.listed && now.Sub(t.at) > forgetAfter && now.Sub(t.noted) > forgetAfter {
 			delete(c.targets, a)
 			c.index()
--- /dev/null
+++ b/internal/steerwire/lists.go
@@ -0,0 +1,132 @@
+package steerwire
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+)
+
+// The lists of a search are encoded by hand: after an outage hundreds of flows a
+// second are asked about at every agent, over links of 10 Mbit/s. An entry is a tag,
+// the flow, and what its kind adds. Flows are TCP.
+//
+//	tag: bit 0 set for IPv6 addresses, bit 1 for a hint with a target, bits 2-3 the holding
+//	flow: source address, port, destination address, port
+//	question: acknowledgement number; hint with a target: address, port
+const (
+	tagIPv6      = 1 << 0
+	tagTarget    = 1 << 1
+	holdingShift = 2
+	holdingMask  = 3
+)
+
+func appendAddr(dst []byte, a netip.AddrPort) []byte {
+	return binary.BigEndian.AppendUint16(append(dst, a.Addr().AsSlice()...), a.Port())
+}
+
+// appendEntry appends the tag and the flow of an entry.
+func appendEntry(dst []byte, f model.Flow, tag byte) []byte {
+	if f.Src.Addr().Is6() {
+		tag |= tagIPv6
+	}
+	return appendAddr(appendAddr(append(dst, tag), f.Src), f.Dst)
+}
+
+// listReader reads entries; it fails once and for all at the first that is cut off.
+type listReader struct {
+	b      []byte
+	failed bool
+}
+
+func (r *listReader) take(n int) []byte {
+	if len(r.b) < n {
+		r.failed = true
+		return make([]byte, n)
+	}
+	out := r.b[:n]
+	r.b = r.b[n:]
+	return out
+}
+
+func (r *listReader) more() bool { return len(r.b) > 0 && !r.failed }
+
+func (r *listReader) addr(tag byte) netip.AddrPort {
+	n := 4
+	if tag&tagIPv6 != 0 {
+		n = 16
+	}
+	a, _ := netip.AddrFromSlice(r.take(n)) // has one of the two lengths
+	return netip.AddrPortFrom(a, binary.BigEndian.Uint16(r.take(2)))
+}
+
+func (r *listReader) entry() (model.Flow, byte) {
+	tag := r.take(1)[0]
+	return model.Flow{Src: r.addr(tag), Dst: r.addr(tag), Proto: model.TCP}, tag
+}
+
+func (r *listReader) err() error {
+	if r.failed {
+		return ErrMalformed
+	}
+	return nil
+}
+
+func (a Ask) append(dst []byte) []byte {
+	for _, q := range a.Questions {
+		dst = binary.BigEndian.AppendUint32(appendEntry(dst, q.Flow, 0), q.Ack)
+	}
+	return dst
+}
+
+func (a *Ask) decode(b []byte) error {
+	r := listReader{b: b}
+	for r.more() {
+		f, _ := r.entry()
+		a.Questions = append(a.Questions, Question{Flow: f, Ack: binary.BigEndian.Uint32(r.take(4))})
+	}
+	return r.err()
+}
+
+func (a Answer) append(dst []byte) []byte {
+	for _, v := range a.Verdicts {
+		dst = appendEntry(dst, v.Flow, byte(v.Holding)&holdingMask<<holdingShift)
+	}
+	return dst
+}
+
+func (a *Answer) decode(b []byte) error {
+	r := listReader{b: b}
+	for r.more() {
+		f, tag := r.entry()
+		v := Verdict{Flow: f, Holding: Holding(tag >> holdingShift & holdingMask)}
+		r.failed = r.failed || v.Holding == 0
+		a.Verdicts = append(a.Verdicts, v)
+	}
+	return r.err()
+}
+
+// append leaves out a target whose addresses are not of the family of the flow's.
+func (h Hints) append(dst []byte) []byte {
+	for _, x := range h.Hints {
+		if !x.Target.IsValid() || x.Target.Addr().Is6() != x.Flow.Src.Addr().Is6() {
+			dst = appendEntry(dst, x.Flow, 0)
+			continue
+		}
+		dst = appendAddr(appendEntry(dst, x.Flow, tagTarget), x.Target)
+	}
+	return dst
+}
+
+func (h *Hints) decode(b []byte) error {
+	r := listReader{b: b}
+	for r.more() {
+		f, tag := r.entry()
+		x := Hint{Flow: f}
+		if tag&tagTarget != 0 {
+			x.Target = r.addr(tag)
+		}
+		h.Hints = append(h.Hints, x)
+	}
+	return r.err()
+}
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -1,7 +1,7 @@
 // Package steerwire is the codec of the messages between balancers and agents
 // whose targets end flows themselves. Forwarded packets have a fixed head that
-// is read in place, because every packet of every caller passes here; all other
-// messages are CBOR. Messages carry no authentication: the deployment must keep
+// is read in place, because every packet of every caller passes here; the lists of
+// searches are packed, and all other messages are CBOR. Messages carry no authentication: the deployment must keep
 // the peer addresses reachable for its own VMs only.
 package steerwire
 
@@ -126,15 +126,15 @@
 
 // Question asks whether the target holds a flow.
 type Question struct {
-	Flow model.Flow `cbor:"1,keyasint"`
+	Flow model.Flow
 	// Ack is the acknowledgement number of the caller's packet. It tells which of
 	// two targets that answered the opening packet the caller chose.
-	Ack uint32 `cbor:"2,keyasint,omitzero"`
+	Ack uint32
 }
 
 // Ask carries at most MaxQuestions questions.
 type Ask struct {
-	Questions []Question `cbor:"1,keyasint"`
+	Questions []Question
 }
 
 // Holding is an agent's knowledge of a flow.
@@ -150,24 +150,24 @@
 
 // Verdict is an agent's knowledge of one flow.
 type Verdict struct {
-	Flow    model.Flow `cbor:"1,keyasint"`
-	Holding Holding    `cbor:"2,keyasint"`
+	Flow    model.Flow
+	Holding Holding
 }
 
 // Answer answers an Ask, question by question.
 type Answer struct {
-	Verdicts []Verdict `cbor:"1,keyasint"`
+	Verdicts []Verdict
 }
 
 // Hint tells which target has a flow, as a balancer remembers it.
 type Hint struct {
-	Flow   model.Flow     `cbor:"1,keyasint"`
-	Target netip.AddrPort `cbor:"2,keyasint,omitzero"` // invalid for an unknown flow
+	Flow   model.Flow
+	Target netip.AddrPort // invalid for an unknown flow
 }
 
 // Hints answers the questions of a KindFind, one by one.
 type Hints struct {
-	Hints []Hint `cbor:"1,keyasint"`
+	Hints []Hint
 }
 
 // Hello tells a peer that its sender lives and asks an agent for a Report.
@@ -275,11 +275,11 @@
 	case KindOpened:
 		body = m.Opened
 	case KindAsk, KindFind:
-		body = m.Ask
+		return m.Ask.append(append(dst, magic, Format, byte(m.Kind))), nil
 	case KindHints:
-		body = m.Hints
+		return m.Hints.append(append(dst, magic, Format, byte(m.Kind))), nil
 	case KindAnswer:
-		body = m.Answer
+		return m.Answer.append(append(dst, magic, Format, byte(m.Kind))), nil
 	case KindHello:
 		body = m.Hello
 	case KindReport:
@@ -316,11 +316,11 @@
 	case KindOpened:
 		body = &m.Opened
 	case KindAsk, KindFind:
-		body = &m.Ask
+		return m, m.Ask.decode(b[headLen:])
 	case KindHints:
-		body = &m.Hints
+		return m, m.Hints.decode(b[headLen:])
 	case KindAnswer:
-		body = &m.Answer
+		return m, m.Answer.decode(b[headLen:])
 	case KindHello:
 		body = &m.Hello
 	case KindReport:
--- a/internal/steerwire/steerwire_test.go
+++ b/internal/steerwire/steerwire_test.go
@@ -83,6 +83,36 @@
 	is.True(len(b) <= MaxMessage)
 }
 
+// Guards against searches that fill the link of a small balancer: 300 flows a second
+// that are asked about at 50 agents may take half of 10 Mbit/s each way.
+func TestQuestionsAreSmall(t *testing.T) {
+	is := is.New(t)
+	const budget = 10_000_000 / 8 / 2 / (300 * 50) // bytes for a question or a verdict
+	var questions []Question
+	var verdicts []Verdict
+	for range MaxQuestions {
+		questions = append(questions, Question{Flow: flow, Ack: 1 << 31})
+		verdicts = append(verdicts, Verdict{Flow: flow, Holding: NotHeld})
+	}
+	for _, m := range []Message{{Kind: KindAsk, Ask: Ask{Questions: questions}}, {Kind: KindAnswer, Answer: Answer{Verdicts: verdicts}}} {
+		b, err := Append(nil, m)
+		is.NoErr(err)
+		is.True(len(b) <= budget*MaxQuestions)
+		for cut := headLen + 1; cut < len(b); cut++ {
+			if _, err := Decode(b[:cut]); (cut-headLen)*MaxQuestions%(len(b)-headLen) != 0 {
+				is.True(errors.Is(err, ErrMalformed)) // an entry is cut off
+			}
+		}
+	}
+	six := model.Flow{Src: netip.MustParseAddrPort("[fd00::1]:1"), Dst: netip.MustParseAddrPort("[fd00::2]:2"), Proto: model.TCP}
+	m := Message{Kind: KindHints, Hints: Hints{Hints: []Hint{{Flow: six, Target: six.Dst}, {Flow: flow}}}}
+	b, err := Append(nil, m)
+	is.NoErr(err)
+	got, err := Decode(b)
+	is.NoErr(err)
+	is.Equal(got, m)
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, m := range messages() {
 		b, err := Append(nil, m)
