shaping: uploads wait for the link at small balancers

Cause: balancers with 10 to 12 Mbit/s got 7 to 9 Mbit/s of uploads for seconds after an outage and while others restarted (measured in a scratch copy: bytes in and out a half second). Openings, searches and short requests waited behind them in the link's own queue, openings timed out at 60 ms, and reports of agents were lost, which held up resets.

Ruled out: repeated packets (10 to 20% of those forwarded, seen by sequence number), the processor (0.025 of 0.061 cores), searches (a fifth of the bytes since they are packed).

Packets of flows with full segments may take 70% of link_mbps; beyond that they wait for up to 0.15 s, copies of waiting ones and what would wait longer is dropped. TestShortRequestsPassUploads plays 40 uploads at once beside short requests: without shaping these wait for more than 200 ms, with it at most 20 ms.

--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -34,6 +34,7 @@
 	FabricAddr netip.AddrPort // UDP; callers take packets at the same port
 	FlowTTL    time.Duration
 	StopGrace  time.Duration // from SIGTERM to the end of the process at the latest
+	LinkMbps   float64       // rate of the VM's link in Mbit/s; 0 when not known
 }
 
 // PassthroughAgent holds the settings of an agent in that mode.
@@ -53,6 +54,7 @@
 	maxFlowTime  = 24 * time.Hour
 	maxGrace     = time.Hour
 	maxPort      = 65_535
+	maxLinkMbps  = 1_000_000
 )
 
 func (c *PassCommon) specs(more ...spec) []spec {
@@ -74,6 +76,7 @@
 		spec{Field{Name: "fabric_address", Type: addrType, Required: true, Doc: "UDP address at which packets of callers arrive; callers take packets at the same port."}, text, address(&b.FabricAddr)},
 		spec{Field{Name: "flow_ttl", Type: "duration", Range: "0s to 24h", Default: "60s", Doc: "Age after which a flow may be forgotten while no configuration gives an idle time."}, text, duration(&b.FlowTTL, maxFlowTime)},
 		spec{Field{Name: "stop_grace", Type: "duration", Range: "0s to 1h", Default: "6s", Doc: "Time from SIGTERM until the platform kills the process."}, text, duration(&b.StopGrace, maxGrace)},
+		spec{Field{Name: "link_mbps", Type: "number", Range: "0 to 1000000", Default: "0", Doc: "Rate of the VM's link in Mbit/s, of which uploads may take 70%; 0 sets no limit."}, scalar, number(&b.LinkMbps, 0, maxLinkMbps)},
 	)
 }
 
--- /dev/null
+++ b/internal/shaping/shaping_test.go
@@ -0,0 +1,128 @@
+package shaping
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+type packet struct{ flow, seq int }
+
+// Guards against copies that take link time twice, packets that wait longer than
+// their sender, and packets that are lost while the link is free.
+func TestVerdicts(t *testing.T) {
+	is := is.New(t)
+	q := New[packet, packet](10_000_000) // 875,000 bytes a second for transfers
+	offer := func(now time.Time, p packet) Verdict {
+		return q.Offer(now, p, 1250, func() packet { return p })
+	}
+	for i := range 16 {
+		is.Equal(offer(start, packet{1, i}), Pass) // one window
+	}
+	is.Equal(offer(start, packet{1, 16}), Wait)
+	is.Equal(offer(start, packet{1, 16}), Copy)
+	n := 0
+	for ; offer(start, packet{2, n}) == Wait; n++ {
+	}
+	is.Equal(n, 105) // 150 ms of the rate
+	is.Equal(len(q.Release(start)), 0)
+	is.Equal(q.Release(start.Add(10*time.Millisecond))[0], packet{1, 16}) // in order
+	is.Equal(offer(start.Add(10*time.Millisecond), packet{3, 0}), Wait)
+	is.Equal(len(q.Release(start.Add(time.Second))), 16)
+
+	free := New[packet, packet](0)
+	for i := range 1000 {
+		is.Equal(free.Offer(start, packet{1, i}, 1250, nil), Pass)
+	}
+}
+
+// link is the queue of a balancer's link, served in order of arrival.
+type link struct {
+	rate float64 // bytes a second
+	free time.Time
+}
+
+// send returns when a packet has left.
+func (l *link) send(now time.Time, size int) time.Time {
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(size) / l.rate * float64(time.Second)))
+	return l.free
+}
+
+// Plays the seconds after an outage at a balancer with 10 Mbit/s: 40 callers upload
+// 80 kB at once with 16 packets in flight, and 150 short requests a second pass. A
+// caller repeats a packet after 200 ms. Checks what callers get: short requests leave
+// within 20 ms, where they wait for more than 200 ms without shaping, and all uploads
+// are through within the time that the link needs for them and a third more.
+func TestShortRequestsPassUploads(t *testing.T) {
+	worst := func(q *Queue[packet, packet]) (short time.Duration, uploads time.Duration, done int) {
+		const callers, packets, window = 40, 64, 16
+		r := rand.New(rand.NewPCG(1, 1))
+		l := &link{rate: 10_000_000 / 8}
+		type caller struct {
+			acked  map[int]bool
+			sentAt map[int]time.Time
+			next   int
+		}
+		all := make([]caller, callers)
+		for i := range all {
+			all[i] = caller{acked: map[int]bool{}, sentAt: map[int]time.Time{}}
+		}
+		acks := map[int][]packet{} // by millisecond
+		deliver := func(now time.Time, p packet) {
+			left := l.send(now, 1250)
+			ms := int(left.Sub(start)/time.Millisecond) + 10 // round trip to the target
+			acks[ms] = append(acks[ms], p)
+		}
+		for ms := 0; ms < 6000 && done < callers; ms++ {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			for _, p := range acks[ms] {
+				all[p.flow].acked[p.seq] = true
+			}
+			for _, p := range q.Release(now) {
+				deliver(now, p)
+			}
+			done = 0
+			for i := range all {
+				c := &all[i]
+				if len(c.acked) == packets {
+					done++
+					continue
+				}
+				for c.next < packets && c.next-len(c.acked) < window {
+					c.next++
+				}
+				for s := range c.next {
+					if at, sent := c.sentAt[s]; c.acked[s] || sent && now.Sub(at) < 200*time.Millisecond {
+						continue
+					}
+					c.sentAt[s] = now
+					p := packet{i, s}
+					if q.Offer(now, p, 1250, func() packet { return p }) == Pass {
+						deliver(now, p)
+					}
+				}
+			}
+			uploads = now.Sub(start)
+			if r.IntN(1000) < 150 {
+				short = max(short, l.send(now, 400).Sub(now))
+			}
+		}
+		return short, uploads, done
+	}
+	is := is.New(t)
+	short, _, _ := worst(New[packet, packet](0))
+	is.True(short > 200*time.Millisecond) // what is guarded against
+	short, uploads, done := worst(New[packet, packet](10_000_000))
+	is.True(short <= 20*time.Millisecond)
+	is.Equal(done, 40)
+	needed := 40 * 64 * 1250 * time.Second / (10_000_000 / 8)
+	is.True(uploads <= time.Duration(float64(needed)/transferShare*4/3))
+	t.Logf("short requests %v, uploads %v of %v needed", short, uploads, needed)
+}
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -185,7 +185,7 @@
 		return
 	}
 	f.lastSeen, f.ack = now, s.Ack
-	c.forward(s.Flow, f.target, f.service, raw)
+	c.shape(now, f, s, raw)
 }
 
 // refused handles a packet that an agent handed back.
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/pacing"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
+	"github.com/bulrushshelf/bulrushshelf/internal/shaping"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
 )
 
@@ -95,6 +96,11 @@
 	Peer        netip.AddrPort   // own peer address
 	Seeds       []netip.AddrPort // peer addresses of balancers
 	FlowTTL     time.Duration    // after which a flow may be forgotten
+	// LinkBits is the rate of the VM's link in bits a second, 0 if it is not known.
+	LinkBits float64
+	// FullSegment is the most data that a packet carries; a flow with such packets is a
+	// transfer. 0 treats none so.
+	FullSegment int
 }
 
 // ActionKind tells actions apart.
@@ -201,10 +207,11 @@
 
 // flow is what the balancer knows of one flow.
 type flow struct {
-	target netip.AddrPort
-	tried  [maxTried]netip.AddrPort // targets that got the opening packet, or were probed
-	ntried uint8
-	opened bool // the target answered the opening packet, or says that it holds the flow
+	target   netip.AddrPort
+	tried    [maxTried]netip.AddrPort // targets that got the opening packet, or were probed
+	ntried   uint8
+	transfer bool // a full packet passed
+	opened   bool // the target answered the opening packet, or says that it holds the flow
 	// pending is set while the opening packet waits for the target's answer.
 	pending  bool
 	at       time.Time // of the last opening packet sent
@@ -267,6 +274,8 @@
 	tick       time.Time
 	leaving    bool
 
+	transfers *shaping.Queue[transferPacket, heldPacket]
+	released  time.Time // last release of transfers
 	early     []earlyPacket
 	returns   map[model.ServiceName]*pacing.Queue[model.Flow]
 	returning map[model.Flow]returning
@@ -282,6 +291,7 @@
 		former: make(map[netip.AddrPort][]Share), flows: make(map[model.Flow]*flow), asks: make(map[model.Flow]*ask),
 		targets: make(map[netip.AddrPort]*target), questions: make(map[netip.AddrPort][]steerwire.Question), peers: make(map[netip.AddrPort]*peer),
 		byService: make(map[model.ServiceName][]*target),
+		transfers: shaping.New[transferPacket, heldPacket](o.LinkBits),
 		returns:   make(map[model.ServiceName]*pacing.Queue[model.Flow]), returning: make(map[model.Flow]returning),
 	}
 	return c
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -569,3 +569,32 @@
 	is.True(!told.IsZero())
 	is.True(told.Sub(start) <= lostAfter+helloInterval+tellPause+10*time.Millisecond)
 }
+
+// Guards against uploads that fill a small link: the packets beyond its part wait and
+// leave in order, and packets of short requests pass them.
+func TestTransfersWaitForTheLink(t *testing.T) {
+	is := is.New(t)
+	c := New(start, Options{Node: "b1", Incarnation: 1, DataCentre: "dc-1", FlowTTL: time.Minute, LinkBits: 10_000_000, FullSegment: 1200})
+	c.SetConfig(start, configOf(1, "alpha"))
+	c.SetAgents(start, []netip.AddrPort{agentA}, time.Time{})
+	ready(c, start, 1, agentA)
+	for port := uint16(1); port <= 2; port++ {
+		c.Packet(start, syn(port), raw)
+		c.Message(start, agentA, steerwire.Message{Kind: steerwire.KindOpened, Opened: steerwire.Opened{Flow: flowOf(port)}}, segment.Segment{})
+	}
+	full := make([]byte, 1231)
+	passed := 0
+	for i := range 40 {
+		s := data(1)
+		s.Seq, s.DataLen = uint32(101+1200*i), 1200
+		passed += len(sent(c.Packet(ms(1), s, full)))
+	}
+	is.Equal(passed, 16)
+	is.Equal(len(sent(c.Packet(ms(1), data(2), raw))), 1) // a short request
+	ack := data(1)
+	ack.DataLen = 0
+	is.Equal(len(sent(c.Packet(ms(1), ack, raw))), 1)
+	is.True(!c.Next().After(ms(6)))
+	is.Equal(len(sent(c.Tick(ms(11)))), 7) // 70% of 12.5 kB
+	is.True(c.transfers.Len() == 17)
+}
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -308,6 +308,7 @@
 	c.listAgents(now)
 	c.overdueWaiting(now)
 	c.releaseReturns(now)
+	c.releaseTransfers(now)
 	if now.Sub(c.questioned) >= askBatch {
 		c.flushQuestions(now)
 	}
@@ -395,6 +396,9 @@
 	if c.listWanted {
 		next = earlier(next, c.listing.Add(listPause))
 	}
+	if c.transfers.Len() > 0 {
+		next = earlier(next, c.transfers.Next(c.released))
+	}
 	if len(c.returning) > 0 {
 		next = earlier(next, c.tick.Add(returnInterval))
 	}
