--- a/internal/steer/hints.go
+++ b/internal/steer/hints.go
@@ -16,9 +16,10 @@
 // what its target holds, so a wrong hint costs one round trip.
 const (
 	// hintTimeout is when the agents are asked although a balancer has not answered.
-	// The round trip within a data centre takes 0.2 ms; a balancer that has used up its
-	// processor share for the moment answers later than the agents would.
-	hintTimeout = 20 * time.Millisecond
+	// Questions wait up to askBatch for others and the round trip within a data centre
+	// takes 0.2 ms; a balancer that has used up its processor share for the moment
+	// answers later than the agents would.
+	hintTimeout = askBatch + 20*time.Millisecond
 	// maxHintPeers bounds the balancers asked about one flow.
 	maxHintPeers = 8
 )
