--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -65,8 +65,8 @@
 	// lives or not, packets do not reach it from here.
 	lostAfter = 2500 * time.Millisecond
 	// unheardAfter is the same for a listed agent that has not reported since it became
-	// known: its VM may be gone. A planned restart of an agent takes 1 s.
-	unheardAfter = 1500 * time.Millisecond
+	// known: its VM may be gone. An agent that restarts is away for 0.7 s.
+	unheardAfter = 1200 * time.Millisecond
 	// silentAfter is when a search goes on without a known agent that has never
 	// answered: two hellos, and the start of an agent. The store lists agents whose VMs
 	// died until their addresses are used again, and callers would wait lostAfter.
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -544,8 +544,8 @@
 		answer(c, now.Add(12*time.Millisecond), agentB, flowOf(port), steerwire.NotHeld)
 		return has(c.SetAgents(now.Add(30*time.Millisecond), []netip.AddrPort{agentA, agentB, agentC}, now.Add(time.Millisecond)), ResetCaller)
 	}
-	is.True(!reset(ms(1200), 1)) // restarts of agents take 1 s
-	is.True(reset(ms(1600), 2))
+	is.True(!reset(ms(1100), 1)) // an agent that restarts is away for 0.7 s
+	is.True(reset(ms(1250), 2))
 }
 
 // Guards against balancers that wait for the next second to hear that others have
