steer: denials without a table of their own; shaping: wide links let many windows pass at once; docs

A map of denials a search would have taken 50 MB at 300 agents and 4,096 searches; agents that were asked and neither wait nor are unsure are the ones that denied. An agent left out as silent is asked again when it reports. On a link of 1 Gbit/s the windows of 17 senders in one moment had to wait for the next release; the burst is now at least what the rate gives in a release interval.

--- a/internal/shaping/shaping.go
+++ b/internal/shaping/shaping.go
@@ -13,9 +13,9 @@
 	transferShare = 0.7
 	// maxWait bounds the wait of a packet; senders repeat a packet after 200 ms.
 	maxWait = 150 * time.Millisecond
-	// burst is what may leave at once after a pause: the 16 packets that a sender has
+	// window is what may leave at once after a pause: the 16 packets that a sender has
 	// in flight.
-	burst = 16 * 1250
+	window = 16 * 1250
 	// releaseInterval is the pause between two releases: four packets at 10 Mbit/s, so
 	// that waking up costs little of a small processor share.
 	releaseInterval = 5 * time.Millisecond
@@ -59,6 +59,7 @@
 
 func (q *Queue[K, T]) refill(now time.Time) {
 	if dt := now.Sub(q.at); dt > 0 {
+		burst := max(window, q.rate*releaseInterval.Seconds())
 		q.credit = min(burst, q.credit+dt.Seconds()*q.rate)
 		q.at = now
 	}
--- a/internal/shaping/shaping_test.go
+++ b/internal/shaping/shaping_test.go
@@ -34,6 +34,11 @@
 	is.Equal(offer(start.Add(10*time.Millisecond), packet{3, 0}), Wait)
 	is.Equal(len(q.Release(start.Add(time.Second))), 16)
 
+	wide := New[packet, packet](1_000_000_000)
+	for i := range 300 { // the windows of many senders in one moment
+		is.Equal(wide.Offer(start, packet{i, 0}, 1250, nil), Pass)
+	}
+
 	free := New[packet, packet](0)
 	for i := range 1000 {
 		is.Equal(free.Offer(start, packet{1, i}, 1250, nil), Pass)
--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -20,11 +20,11 @@
 	first   time.Time // of the search
 	at      time.Time // of the last round
 	rounds  int
-	done    bool             // no agent holds the flow
-	asked   []netip.AddrPort // agents asked in this search, in order
-	// denied are agents that are certain that their targets do not hold the flow. That
-	// stays so: a flow is opened once, so they are not asked again.
-	denied  map[netip.AddrPort]bool
+	done    bool // no agent holds the flow
+	// asked are the agents of this search, in order. Those that neither wait nor are
+	// unsure are certain that their targets do not hold the flow. That stays so: a flow
+	// is opened once, so they are not asked again.
+	asked   []netip.AddrPort
 	certain bool             // all of asked answered so, for certain
 	last    bool             // the round that decides on a reset
 	again   bool             // not all agents were asked; another round follows
@@ -46,7 +46,7 @@
 			c.count(CounterDropped, "ask_table_full")
 			return
 		}
-		a = &ask{first: now, done: true, denied: make(map[netip.AddrPort]bool)}
+		a = &ask{first: now, done: true}
 		c.asks[s.Flow] = a
 	}
 	a.ack = s.Ack
@@ -68,13 +68,15 @@
 }
 
 func (c *Core) startRound(now time.Time, key model.Flow, a *ask) {
-	a.asked = c.possibleHolders(now)
-	a.waiting, a.unsure, a.done = a.waiting[:0], a.unsure[:0], false
-	for _, to := range a.asked {
-		if !a.denied[to] {
-			a.waiting = append(a.waiting, to)
+	possible := c.possibleHolders(now)
+	var waiting []netip.AddrPort
+	for _, to := range possible {
+		_, asked := slices.BinarySearchFunc(a.asked, to, netip.AddrPort.Compare)
+		if !asked || slices.Contains(a.waiting, to) || slices.Contains(a.unsure, to) {
+			waiting = append(waiting, to)
 		}
 	}
+	a.asked, a.waiting, a.unsure, a.done = possible, waiting, a.unsure[:0], false
 	a.at, a.rounds = now, 1
 	if len(a.waiting) == 0 {
 		c.conclude(now, key, a)
@@ -137,8 +139,6 @@
 	case steerwire.Held:
 		c.found(now, m.Flow, a, from, "held")
 		return
-	case steerwire.NotHeld:
-		a.denied[from] = true
 	case steerwire.Unsure:
 		if i >= 0 {
 			a.unsure = append(a.unsure, from)
@@ -173,7 +173,9 @@
 	if len(a.packets) > 0 && c.probe(now, key, a) {
 		return
 	}
-	a.waiting = slices.DeleteFunc(a.waiting, func(to netip.AddrPort) bool { return c.silentWithoutFlows(a, to) })
+	silent := func(to netip.AddrPort) bool { return slices.Contains(a.waiting, to) && c.silentWithoutFlows(a, to) }
+	a.asked = slices.DeleteFunc(a.asked, silent) // it is asked when it reports again
+	a.waiting = slices.DeleteFunc(a.waiting, silent)
 	a.certain = len(a.waiting) == 0 && len(a.unsure) == 0
 	if a.last && now.Sub(c.started) >= startTimeout && c.proves(now, a) {
 		c.resetUnheld(now, key, a)
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -629,6 +629,11 @@
 			is.Equal(has(c.SetAgents(ms(160), []netip.AddrPort{agentA, agentB, agentC}, ms(141)), ResetCaller), test.reset)
 			if test.reset {
 				is.Equal(askedSoon(c, ms(170), c.Packet(ms(170), data(2), raw)), 2) // but agentB
+				answer(c, ms(171), agentA, flowOf(2), steerwire.NotHeld)
+				report(c, ms(172), agentB, steerwire.Report{Incarnation: 1, Sequence: 3, State: steerwire.TargetReady})
+				is.True(!has(answer(c, ms(173), agentC, flowOf(2), steerwire.NotHeld), ResetCaller))
+				is.True(!has(c.SetAgents(ms(180), []netip.AddrPort{agentA, agentB, agentC}, ms(174)), ResetCaller))
+				is.Equal(askedSoon(c, ms(220), c.Tick(ms(220))), 1) // agentB is back
 			}
 		})
 	}
