steer: searches wait for agents that start until the next hello has reached them

On the grown sites hellos are 0.49 s apart, so the time was too short there in any case.

A search now waits for a never-heard agent for the spread of starts (0.3 s) and an interval of hellos, 0.6 s at the small sites and 0.84 s among 59 agents.

--- a/internal/steer/asks.go
+++ b/internal/steer/asks.go
@@ -166,7 +166,7 @@
 
 // conclude ends an ask without a holder.
 func (c *Core) conclude(now time.Time, key model.Flow, a *ask) {
-	if len(a.packets) > 0 && !c.askedAll(now, a, silentAfter) {
+	if len(a.packets) > 0 && !c.askedAll(now, a, c.silentAfter()) {
 		a.again = true // an agent that was not asked may hold the flow
 		return
 	}
@@ -277,6 +277,12 @@
 	return has(c.config.Routes[dst].Shares) || has(c.former[dst])
 }
 
+// silentAfter returns when a search goes on without a known agent that has never
+// reported: it may start after the balancer and hears of it with the next hello. The
+// store lists agents whose VMs died until their addresses are used again, and callers
+// would wait lostAfter.
+func (c *Core) silentAfter() time.Duration { return startSpread + c.agentInterval() + helloSlack }
+
 // proves reports whether a search shows that nobody holds the flow: each agent
 // that may hold it was asked and is certain. An agent that reported since the
 // question may be the holder.
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -67,10 +67,9 @@
 	// unheardAfter is the same for a listed agent that has not reported since it became
 	// known: its VM may be gone. An agent that restarts is away for 0.7 s.
 	unheardAfter = 1200 * time.Millisecond
-	// silentAfter is when a search goes on without a known agent that has never
-	// answered: two hellos, and the start of an agent. The store lists agents whose VMs
-	// died until their addresses are used again, and callers would wait lostAfter.
-	silentAfter = 400 * time.Millisecond
+	// startSpread is how far apart the processes of a deployment start that lost power or
+	// were killed together.
+	startSpread = 300 * time.Millisecond
 	// listPause bounds the listings of the store that decide on resets.
 	listPause = 100 * time.Millisecond
 )
