--- a/internal/demo/faultbed_test.go
+++ b/internal/demo/faultbed_test.go
@@ -130,7 +130,7 @@
 	conn, err := call.Dial(ctx, svc.Addr)
 	b.is.NoErr(err)
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	b.t.Cleanup(func() { cancel(); <-f.ended })
+	b.t.Cleanup(cancel) // a check below may end the test before the reader runs
 	local, _ := netip.ParseAddrPort(conn.LocalAddr().String())
 	f.flow = model.Flow{Src: local, Dst: svc.Addr, Proto: model.TCP}
 	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/feed?every=%d&from=%s", svc.Addr, every.Milliseconds(), f.from), nil)
@@ -143,6 +143,7 @@
 		defer close(f.ended)
 		f.err = f.read(resp.Body)
 	}()
+	b.t.Cleanup(func() { cancel(); <-f.ended })
 	return f
 }
 
