balancers: few readers of the store in each data centre, shared listings, calls counted by cause

Change: the three highest balancers of a data centre by hash of the address watch and list; the others learn of configurations from hellos, fetch them from a balancer of their data centre, and ask the highest reader for a fresh listing. A reader that stops or is turned away by the store says so in its hellos, and one without hellos for 2.2 s no longer counts. Store calls are counted by operation and kind (store_calls). While the store has no configuration it is read every 250 ms, not 50 ms. Tests: steersim TestHistory*, with the guards removed one by one TestHistoryAllReadersAreKilled, TestHistoryAllReadersAreCutFromTheStore and TestHistoryListingsAreShared fail.

--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -23,14 +23,20 @@
 
 // Timeouts and intervals of the balancer.
 const (
-	// listInterval is the interval between listings of the agents. It may be long because
-	// balancers also learn of new agents from each other.
+	// listInterval is the interval between listings of the agents by a reader, and after a
+	// failed listing. It may be long because balancers also learn of new agents from each other.
 	listInterval = 2 * time.Second
+	// nonReaderListInterval is the same for a balancer that is not a reader. Its listings
+	// only remove the entries of agents whose objects are gone.
+	nonReaderListInterval = 20 * time.Second
 	// listRetryInterval is the interval between listings until one contains an agent.
 	listRetryInterval = 150 * time.Millisecond
 	// firstConfigRetryInterval is the delay between attempts to get the first
 	// configuration. It is short because callers wait for it.
 	firstConfigRetryInterval = 50 * time.Millisecond
+	// missingConfigRetryInterval is the same while the store has no configuration, so that
+	// callers cannot be served anyway.
+	missingConfigRetryInterval = 250 * time.Millisecond
 	// fetchTimeout bounds the transfer of a configuration between balancers.
 	fetchTimeout = 800 * time.Millisecond
 )
@@ -88,6 +94,7 @@
 	fetchRequests   chan netip.AddrPort // balancers to fetch the configuration from
 	listRequests    chan struct{}       // signals that a fresh listing of the agents is needed
 	removeRequests  chan netip.AddrPort // agents whose objects are to be removed
+	reader          *readerRole
 	// objectVersions holds the versions of the agents' objects. Only the goroutine of
 	// listAgents uses it.
 	objectVersions map[netip.AddrPort]uint64
@@ -95,7 +102,7 @@
 
 // NewBalancer returns a balancer with its sockets bound.
 func NewBalancer(opts BalancerOptions) (*Balancer, error) {
-	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan netip.AddrPort, callQueue)}
+	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan netip.AddrPort, callQueue), reader: newReaderRole()}
 	b.loop = newLoop(opts.Metrics, b.logWriter)
 	b.loop.handleDatagram, b.loop.tick, b.loop.next = b.handleDatagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -166,6 +173,9 @@
 func (b *Balancer) tick(now time.Time) {
 	b.execute(now, b.core.Tick(now))
 	b.publishReadiness(now)
+	if reads := b.core.ReadsStore(now); b.reader.set(reads) {
+		b.logWriter.enqueue(now, "store_reader", "reader", reads, "peers", b.core.Peers())
+	}
 }
 
 // publishReadiness updates the result of UnreadyReason and logs a change.
@@ -255,39 +265,58 @@
 	b.logWriter.enqueue(now, e.Event, f...)
 }
 
-// watchConfig reads the configuration from the store and applies each change of it. The
-// first configuration waits for the decision files, but at most firstDecisionsTimeout.
+// watchConfig reads the configuration from the store, and while the balancer is a reader
+// applies each change of it.
 func (b *Balancer) watchConfig(ctx context.Context) error {
-	var after uint64
+	b.readFirstConfig(ctx)
+	var after uint64 // where the last watch ended
+	for ctx.Err() == nil {
+		watchCtx, stop := b.reader.whileReader(ctx)
+		if c := b.config.Load(); c != nil {
+			after = max(after, c.Revision)
+		}
+		err := b.opts.Store.Watch(watchCtx, b.opts.ConfigPrefix, after, func(batch storeclient.Batch) error {
+			after = batch.Revision
+			for _, ch := range batch.Changes {
+				if ch.Path == b.opts.ConfigPath && !ch.Removed {
+					b.applyConfig(watchCtx, ch.Version, ch.Content, "store")
+				}
+			}
+			return watchCtx.Err()
+		})
+		ended := watchCtx.Err() != nil
+		stop()
+		if !ended {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// readFirstConfig reads the configuration from the store until there is one from any
+// source. It waits for the decision files, but at most firstDecisionsTimeout.
+func (b *Balancer) readFirstConfig(ctx context.Context) {
 	began := time.Now()
-	for after == 0 && ctx.Err() == nil && b.config.Load() == nil {
-		if o, err := b.opts.Store.Get(ctx, b.opts.ConfigPath); err == nil {
-			after = o.Version
+	for ctx.Err() == nil && b.config.Load() == nil {
+		pause := firstConfigRetryInterval
+		o, err := b.opts.Store.Get(ctx, b.opts.ConfigPath)
+		if err == nil {
 			select {
 			case <-b.decisionsListed:
 			case <-time.After(time.Until(began.Add(firstDecisionsTimeout))):
 			case <-ctx.Done():
 			}
 			b.applyConfig(ctx, o.Version, o.Content, "store")
-			break
+			return
+		}
+		if storeclient.KindOf(err) == storeclient.NotFound {
+			pause = missingConfigRetryInterval
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(firstConfigRetryInterval):
+		case <-time.After(pause):
 		}
 	}
-	err := b.opts.Store.Watch(ctx, b.opts.ConfigPrefix, after, func(batch storeclient.Batch) error {
-		for _, ch := range batch.Changes {
-			if ch.Path == b.opts.ConfigPath && !ch.Removed {
-				b.applyConfig(ctx, ch.Version, ch.Content, "store")
-			}
-		}
-		return nil
-	})
-	if ctx.Err() != nil {
-		return nil
-	}
-	return trace.Wrap(err)
 }
 
 // applyConfig puts a configuration into effect unless it is older than the current one.
@@ -301,7 +330,11 @@
 	next.Revision = revision
 	_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
 		old := b.core.Config()
-		b.execute(now, b.core.SetConfig(now, next))
+		if source == "store" {
+			b.execute(now, b.core.SetConfig(now, next))
+		} else {
+			b.execute(now, b.core.SetPeerConfig(now, next))
+		}
 		if b.core.Config() != old {
 			b.config.Store(&sharedConfig{Revision: revision, Content: json.RawMessage(content)})
 			b.logWriter.enqueue(now, "configuration_in_effect", "source", source, "revision", revision, "config_version", next.Version)
@@ -329,6 +362,7 @@
 		if (err == nil) != storeReachable && ctx.Err() == nil {
 			storeReachable = err == nil
 			b.logViaLoop(ctx, "store_reachable", "reachable", storeReachable, "err", errText(err))
+			_ = b.loop.call(ctx, func(time.Time) { b.core.SetStoreReachable(storeReachable) }) // fails only at shutdown
 		}
 		if err == nil {
 			if !fresh {
@@ -338,11 +372,16 @@
 			_ = b.loop.call(ctx, func(now time.Time) { b.execute(now, b.core.SetAgents(now, addrs, began)) }) // fails only at shutdown
 		}
 		pause := listInterval
-		if !agentsFound {
+		switch {
+		case !agentsFound:
 			pause = listRetryInterval
+		case storeReachable && !b.reader.is():
+			pause = nonReaderListInterval
 		}
 		select {
 		case <-ctx.Done():
+		case <-b.reader.gained:
+			fresh = false
 		case <-time.After(pause):
 			fresh = !agentsFound
 		case <-b.listRequests:
--- a/internal/passnode/decisions.go
+++ b/internal/passnode/decisions.go
@@ -43,7 +43,8 @@
 	return h
 }
 
-// watchDecisions lists the decision files in the store repeatedly and applies changes.
+// watchDecisions lists the decision files in the store at the start, then repeatedly
+// while the balancer is a reader, and applies changes.
 func (b *Balancer) watchDecisions(ctx context.Context) error {
 	list, first := b.opts.Store.List, true
 	for ctx.Err() == nil {
@@ -66,6 +67,8 @@
 		case <-ctx.Done():
 		case <-time.After(decisionListInterval):
 		}
+		_, stop := b.reader.whileReader(ctx)
+		stop()
 	}
 	return nil
 }
--- a/internal/steer/decisions.go
+++ b/internal/steer/decisions.go
@@ -37,7 +37,7 @@
 		c.override(t)
 	}
 	if c.base != nil {
-		c.replaceConfig(now, c.base)
+		c.replaceConfig(now, c.base, true)
 	}
 	return c.actions
 }
--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -186,7 +186,8 @@
 	l.idle, l.phaseStart = true, now
 	l.buffered = l.buffered[:0]
 	c.count(CounterDropped, "no_holder")
-	c.log(Entry{Event: "dropped", Flow: key, Reason: "no_holder", Version: c.version(), Age: now.Sub(l.startedAt), Detail: len(l.unanswered)})
+	blocking, why := c.unprovenBecause(now, l)
+	c.log(Entry{Event: "dropped", Flow: key, Target: blocking, Reason: why, Version: c.version(), Age: now.Sub(l.startedAt), Detail: len(l.unanswered)})
 	if l.allNotHeld {
 		c.listingWanted = true
 		c.requestListing(now)
@@ -205,11 +206,11 @@
 	return true
 }
 
-// requestListing issues ListAgents if a listing is wanted, at most once in minListInterval.
+// requestListing starts a listing if one is wanted, at most once in minListInterval.
 func (c *Core) requestListing(now time.Time) {
 	if c.listingWanted && now.Sub(c.lastListing) >= minListInterval {
 		c.listingWanted, c.lastListing = false, now
-		c.actions = append(c.actions, Action{Kind: ListAgents})
+		c.startListing(now)
 	}
 }
 
@@ -332,6 +333,34 @@
 	return present > unavailable && !(unavailableEarly && unreachable)
 }
 
+// unprovenBecause returns an agent that keeps a lookup from proving that the flow has no
+// holder, and why, for the log.
+func (c *Core) unprovenBecause(now time.Time, l *lookup) (netip.AddrPort, string) {
+	switch {
+	case len(l.unanswered) > 0:
+		return l.unanswered[0], "no_answer"
+	case len(l.unsure) > 0:
+		return l.unsure[0], "unsure"
+	}
+	for _, a := range sortedKeys(c.targets) {
+		t := c.targets[a]
+		_, queried := slices.BinarySearchFunc(l.queried, a, netip.AddrPort.Compare)
+		switch {
+		case c.unavailable(now, t):
+		case !t.reported:
+			return a, "no_report_yet"
+		case t.lost(now):
+			return a, "lost_here_only"
+		case !queried:
+			return a, "not_queried"
+		}
+	}
+	if !c.agentViewComplete(now) {
+		return netip.AddrPort{}, "too_many_unavailable"
+	}
+	return netip.AddrPort{}, "listing_needed"
+}
+
 // advanceLookups retries, continues or ends the lookups whose current phase timed out.
 func (c *Core) advanceLookups(now time.Time) {
 	var due []model.Flow
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -287,6 +287,9 @@
 	actions             []Action
 	candidates          []candidate
 	lastConfigFetch     time.Time // when FetchConfig was last issued
+	storeFailing        bool      // the last call to the store failed
+	listingQuery        listingQuery
+	listingAskers       []listingAsker // balancers that wait for a listing from this one
 }
 
 // New returns the core of a balancer that starts at now.
@@ -305,28 +308,40 @@
 // Config returns the configuration in effect, or nil if there is none yet.
 func (c *Core) Config() *Config { return c.config }
 
-// SetConfig puts a configuration into effect if it is newer than the current one.
+// SetConfig puts a configuration that was read from the store into effect if it is newer
+// than the current one. It is advertised at once, because most balancers learn of it from
+// hellos only and all must be within the propagation bound.
 func (c *Core) SetConfig(now time.Time, next *Config) []Action {
+	return c.setConfig(now, next, true)
+}
+
+// SetPeerConfig does the same with a configuration that was fetched from a peer, which
+// has advertised it to all.
+func (c *Core) SetPeerConfig(now time.Time, next *Config) []Action {
+	return c.setConfig(now, next, false)
+}
+
+func (c *Core) setConfig(now time.Time, next *Config, advertise bool) []Action {
 	c.actions = c.actions[:0]
 	if c.base != nil && next.Revision <= c.base.Revision {
 		return nil
 	}
-	c.replaceConfig(now, next)
+	c.replaceConfig(now, next, advertise)
 	return c.actions
 }
 
 // replaceConfig puts the operator's configuration into effect, with the decision files
 // applied to it.
-func (c *Core) replaceConfig(now time.Time, base *Config) {
+func (c *Core) replaceConfig(now time.Time, base *Config, advertise bool) {
 	next := c.decisions.apply(base)
 	c.log(Entry{Event: "configuration", Version: next.Version, Detail: next.routeCount()})
 	c.saveFormerShares(next)
 	c.base, c.config = base, next
 	c.replayPreConfig(now)
-	// Peers without access to the store learn the revision from hellos. Sending these at
-	// once keeps the difference between balancers within the propagation bound.
-	c.lastPeerHello = now
-	c.sendPeerHellos(now)
+	if advertise {
+		c.lastPeerHello = now
+		c.sendPeerHellos(now)
+	}
 }
 
 // preConfigPacket is a packet received before the first configuration.
@@ -384,8 +399,9 @@
 	}
 }
 
-// Leave marks the balancer as stopping. It continues to forward packets.
-func (c *Core) Leave() { c.leaving = true }
+// Leave marks the balancer as stopping. It continues to forward packets, and another
+// balancer reads the store in its place.
+func (c *Core) Leave() { c.leaving, c.advertiseSoon = true, true }
 
 // Ready reports whether the balancer may receive packets from callers, and if not, why.
 func (c *Core) Ready(now time.Time) (bool, string) {
@@ -413,6 +429,9 @@
 	return true, ""
 }
 
+// Peers returns the number of known balancers other than this one.
+func (c *Core) Peers() int { return len(c.peers) }
+
 // Flows returns the number of flows in the flow table.
 func (c *Core) Flows() int { return len(c.flows) }
 
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -93,6 +93,7 @@
 	seed         bool
 	dataCentre   model.DataCentre
 	unresponsive bool             // did not answer a query; reset by its next hello or answer
+	noStore      bool             // cannot read the store for others
 	lost         []netip.AddrPort // agents that it reports as lost
 }
 
@@ -100,6 +101,11 @@
 // which the listing was complete, zero if the listing may be outdated.
 func (c *Core) SetAgents(now time.Time, listed []netip.AddrPort, asOf time.Time) []Action {
 	c.actions = c.actions[:0]
+	c.setAgents(now, listed, asOf)
+	return c.actions
+}
+
+func (c *Core) setAgents(now time.Time, listed []netip.AddrPort, asOf time.Time) {
 	for _, t := range c.targets {
 		t.listed = false
 	}
@@ -108,9 +114,9 @@
 		t.listed = true
 	}
 	if !asOf.IsZero() {
+		c.answerListingAskers(listed, asOf)
 		c.resetProvenUnheld(now, asOf)
 	}
-	return c.actions
 }
 
 // addAgent returns the entry of an agent. It creates the entry of a new agent and sends
@@ -153,6 +159,10 @@
 		c.handleReport(now, from, m.Report)
 	case steerwire.KindHello:
 		c.handleHello(now, from, m.Hello)
+	case steerwire.KindListingQuery:
+		c.handleListingQuery(now, from, m.ListingQuery)
+	case steerwire.KindListing:
+		c.handleListing(now, from, m.Listing)
 	default:
 		c.count(CounterDropped, "unexpected_message")
 	}
@@ -239,7 +249,7 @@
 	if h.Decisions > p.decisions.Revision {
 		p.decisions = Decisions{Revision: h.Decisions, Digest: h.DecisionDigest}
 	}
-	p.lost, p.dataCentre, p.unresponsive = h.Lost, h.DataCentre, false
+	p.lost, p.dataCentre, p.unresponsive, p.noStore = h.Lost, h.DataCentre, false, h.NoStore
 	for _, a := range h.Agents {
 		c.addAgent(now, a)
 	}
@@ -259,16 +269,16 @@
 	if c.base != nil {
 		own = c.base.Revision
 	}
-	best := netip.AddrPort{}
+	var newer []*peer
 	for _, p := range c.peers {
-		newer := p.revision > own || p.decisions.Revision > c.decisions.Revision && p.decisions.Digest != c.decisions.Digest
-		if newer && now.Sub(p.lastHello) < peerTimeout && (!best.IsValid() || p.addr.Compare(best) < 0) {
-			best = p.addr
+		isNewer := p.revision > own || p.decisions.Revision > c.decisions.Revision && p.decisions.Digest != c.decisions.Digest
+		if isNewer && now.Sub(p.lastHello) < peerTimeout {
+			newer = append(newer, p)
 		}
 	}
-	if best.IsValid() {
+	if len(newer) > 0 {
 		c.lastConfigFetch = now
-		c.actions = append(c.actions, Action{Kind: FetchConfig, To: best})
+		c.actions = append(c.actions, Action{Kind: FetchConfig, To: c.chooseConfigSource(newer)})
 	}
 }
 
@@ -278,6 +288,7 @@
 	m := c.helloMessage(reply)
 	m.Hello.DataCentre = c.options.DataCentre
 	m.Hello.WantAgents = now.Sub(c.started) < startupPeriod
+	m.Hello.NoStore = c.leaving || c.storeFailing
 	for _, t := range c.targets {
 		if t.lost(now) && len(m.Hello.Lost) < steerwire.MaxPeers {
 			m.Hello.Lost = append(m.Hello.Lost, t.addr)
@@ -311,6 +322,7 @@
 	c.lastTick = now
 	c.retryOverdueOpenings(now)
 	c.advanceLookups(now)
+	c.checkListingQuery(now)
 	c.requestListing(now)
 	c.refuseOverduePending(now)
 	c.sendDueResets(now)
@@ -404,6 +416,9 @@
 	if c.listingWanted {
 		next = minTime(next, c.lastListing.Add(minListInterval))
 	}
+	if c.listingQuery.pending() {
+		next = minTime(next, c.listingQuery.sentAt.Add(listingTimeout))
+	}
 	if c.transfers.Len() > 0 {
 		next = minTime(next, c.transfers.NextRelease(c.lastTransferRelease))
 	}
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -29,6 +29,10 @@
 	localDelay        = 100 * time.Microsecond // one way, within a data centre or a VM
 	callerDelay       = time.Millisecond       // one way, between a caller and the deployment
 	storeDelay        = 8 * time.Millisecond   // of a call to the store
+	storePoll         = 50 * time.Millisecond  // until a watch of the store delivers a change
+	// storeFailureTime is the time after which a process notices that the store does not
+	// answer it: the interval of listings and five attempts of a silent call.
+	storeFailureTime = 6500 * time.Millisecond
 )
 
 type event struct {
@@ -64,6 +68,9 @@
 	packets   []segment.Segment
 	config    *steer.Config
 	cut       func(a, b netip.AddrPort) bool // reports whether the link between two processes is cut
+	storeCut  func(a netip.AddrPort) bool    // reports whether a process cannot reach the store
+	listings  int                            // listings of the agents that the store served
+	watches   int                            // configurations that the store sent to balancers
 	port      uint16
 	started   time.Time
 
@@ -79,7 +86,8 @@
 		t: t, now: time.Unix(1_700_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
 		callers: map[model.Flow]*caller{}, holders: map[model.Flow]*target{},
 		misdirected: map[model.Flow][]time.Time{}, requestRuns: map[string]int{}, port: 1024,
-		cut: func(netip.AddrPort, netip.AddrPort) bool { return false },
+		cut:      func(netip.AddrPort, netip.AddrPort) bool { return false },
+		storeCut: func(netip.AddrPort) bool { return false },
 	}
 	s.started = s.now
 	s.config = &steer.Config{Revision: 1, Version: 1, IdleTimeout: 15 * time.Second, Routes: map[netip.AddrPort]steer.Route{}}
@@ -198,6 +206,8 @@
 	addr       netip.AddrPort
 	core       *steer.Core
 	inRotation bool
+
+	lastStoreAnswer time.Time
 }
 
 func (s *sim) addBalancer() *balancer {
@@ -212,12 +222,47 @@
 	s := b.s
 	b.core = steer.New(s.now, steer.Options{
 		Node: model.NodeID("b" + b.addr.String()), Incarnation: model.Incarnation(s.now.UnixMilli()),
-		DataCentre: dataCentreOf(b.addr), Seed: s.rand.Uint64(), FlowTTL: time.Minute,
+		DataCentre: dataCentreOf(b.addr), Seed: s.rand.Uint64(), FlowTTL: time.Minute, Peer: b.addr,
 	})
 	b.core.AddSeeds(s.now, []netip.AddrPort{s.balancers[0].addr})
-	b.execute(b.core.SetConfig(s.now, s.config))
-	b.execute(b.core.SetAgents(s.now, s.listed(), time.Time{}))
+	if !s.storeCut(b.addr) {
+		b.execute(b.core.SetConfig(s.now, s.config))
+		b.execute(b.core.SetAgents(s.now, s.listed(), time.Time{}))
+	}
+	b.lastStoreAnswer = s.now
 	b.tick(b.core)
+	b.watch(b.core)
+}
+
+// watch plays the watch of a reader, and its listings, which show whether it reaches the store.
+func (b *balancer) watch(core *steer.Core) {
+	s := b.s
+	if b.core != core {
+		return
+	}
+	if core.ReadsStore(s.now) {
+		if !s.storeCut(b.addr) {
+			b.lastStoreAnswer = s.now
+			if core.Config() == nil || core.Config().Revision < s.config.Revision {
+				s.watches++
+				b.execute(core.SetConfig(s.now, s.config))
+			}
+		}
+		core.SetStoreReachable(s.now.Sub(b.lastStoreAnswer) < storeFailureTime)
+	}
+	s.after(storePoll, func() { b.watch(core) })
+}
+
+// fetchConfig plays the transfer of a configuration from another balancer.
+func (b *balancer) fetchConfig(from netip.AddrPort) {
+	s, core := b.s, b.core
+	s.after(3*linkDelay(b.addr, from), func() {
+		for _, p := range s.balancers {
+			if p.addr == from && p.core != nil && p.core.Config() != nil && b.core == core && !s.cut(from, b.addr) && !s.cut(b.addr, from) {
+				b.execute(core.SetPeerConfig(s.now, p.core.Config()))
+			}
+		}
+	})
 }
 
 // listed returns the agents that the store lists.
@@ -256,11 +301,17 @@
 			s.reset(b, a.Flow)
 		case steer.ListAgents:
 			core, began := b.core, s.now
+			if s.storeCut(b.addr) {
+				continue
+			}
+			s.listings++
 			s.after(storeDelay, func() {
 				if b.core == core {
 					b.execute(core.SetAgents(s.now, s.listed(), began))
 				}
 			})
+		case steer.FetchConfig:
+			b.fetchConfig(a.To)
 		case steer.Log:
 			s.logf("balancer %s %s flow=%s target=%s reason=%s n=%d", b.addr, a.Entry.Event, a.Entry.Flow.Src, a.Entry.Target, a.Entry.Reason, a.Entry.Detail)
 		}
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -55,6 +55,8 @@
 	KindReport                       // agent to balancers: state and load
 	KindHintQuery                    // balancer to balancers of its data centre: which target holds the flow?
 	KindHints                        // balancer to balancer: the answer to a KindHintQuery
+	KindListingQuery                 // balancer to a store reader: which agents does the store list now?
+	KindListing                      // store reader to balancer: one part of the answer to a KindListingQuery
 )
 
 // Reason is why an agent returns a packet.
@@ -195,6 +197,22 @@
 	DecisionDigest uint64 `cbor:"9,keyasint,omitzero"`
 	// DataCentre is the sender's data centre. Sent to balancers.
 	DataCentre model.DataCentre `cbor:"10,keyasint,omitzero"`
+	// NoStore is set if the sender cannot read the store for others: it is stopping, or its
+	// last call to the store failed. Sent to balancers.
+	NoStore bool `cbor:"11,keyasint,omitzero"`
+}
+
+// ListingQuery asks a store reader for a listing that starts after the receipt of the query.
+type ListingQuery struct {
+	ID uint64 `cbor:"1,keyasint"` // returned in the answer
+}
+
+// Listing is one part of the agents that the store listed after the receipt of a query.
+type Listing struct {
+	ID     uint64           `cbor:"1,keyasint"` // of the ListingQuery
+	Part   int              `cbor:"2,keyasint"` // from 0
+	Parts  int              `cbor:"3,keyasint"` // number of parts, at least 1
+	Agents []netip.AddrPort `cbor:"4,keyasint,omitempty"`
 }
 
 // TargetState is the state of a target as reported by its agent.
@@ -253,6 +271,9 @@
 	Hints   Hints
 	Hello   Hello
 	Report  Report
+
+	ListingQuery ListingQuery
+	Listing      Listing
 }
 
 // ErrMalformed is returned for a datagram that is not a valid message of this format.
@@ -290,6 +311,10 @@
 		body = m.Hello
 	case KindReport:
 		body = m.Report
+	case KindListingQuery:
+		body = m.ListingQuery
+	case KindListing:
+		body = m.Listing
 	default:
 		return dst, fmt.Errorf("%w: kind %d", ErrMalformed, m.Kind)
 	}
@@ -331,6 +356,10 @@
 		body = &m.Hello
 	case KindReport:
 		body = &m.Report
+	case KindListingQuery:
+		body = &m.ListingQuery
+	case KindListing:
+		body = &m.Listing
 	default:
 		return Message{}, fmt.Errorf("%w: kind %d", ErrMalformed, b[2])
 	}
--- a/internal/steerwire/steerwire_test.go
+++ b/internal/steerwire/steerwire_test.go
@@ -30,6 +30,9 @@
 		{Kind: KindHints, Hints: Hints{Hints: []Hint{{Flow: flow, Target: flow.Dst}, {Flow: flow}}}},
 		{Kind: KindHello, Hello: Hello{Node: "b", Incarnation: 1, Revision: 2, Agents: []netip.AddrPort{flow.Src}, WantAgents: true, Decisions: 5, DecisionDigest: 6, DataCentre: "dc"}},
 		{Kind: KindReport, Report: Report{Node: "a", Incarnation: 1, Sequence: 2, Service: "s", State: TargetReady, Slots: 3, BusyCenti: 150, TargetStartMillis: 9, Empty: true, FailingCenti: 40}},
+		{Kind: KindListingQuery, ListingQuery: ListingQuery{ID: 8}},
+		{Kind: KindListing, Listing: Listing{ID: 8, Part: 1, Parts: 2, Agents: []netip.AddrPort{flow.Src}}},
+		{Kind: KindHello, Hello: Hello{Node: "b", Incarnation: 1, DataCentre: "dc", NoStore: true}},
 	}
 }
 
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -29,6 +29,7 @@
 const (
 	CounterRetries  = "store_retries"   // by error kind, with the prefix watch_ for watches
 	CounterReadBack = "store_read_back" // by outcome
+	CounterCalls    = "store_calls"     // attempts, by operation and first segment of the path
 )
 
 // Defaults of Options.
@@ -42,7 +43,7 @@
 	maxResponseBytes = 4 << 20
 )
 
-// Counter counts retries and read-backs; *telemetry.Metrics implements it.
+// Counter counts calls, retries and read-backs; *telemetry.Metrics implements it.
 type Counter interface {
 	Count(name, reason string, n int64)
 }
@@ -122,8 +123,27 @@
 
 func (c call) String() string { return c.method + " " + c.path }
 
+// label returns the operation and the first segment of the path or prefix, for
+// CounterCalls. It never contains an object's name.
+func (c call) label() string {
+	path, single := strings.CutPrefix(c.path, storeapi.ObjectsPath+"/")
+	operation := strings.ToLower(c.method)
+	switch {
+	case c.path == storeapi.WatchPath:
+		operation, path = "watch", c.query.Get("prefix")
+	case !single:
+		operation, path = "list", c.query.Get("prefix")
+		if c.query.Has("stale") {
+			operation = "list_stale"
+		}
+	}
+	segment, _, _ := strings.Cut(path, "/")
+	return operation + "_" + segment
+}
+
 // doOnce makes one attempt and decodes the response into out.
 func (c *Client) doOnce(ctx context.Context, k call, out any) error {
+	c.opts.Counter.Count(CounterCalls, k.label(), 1)
 	ctx, cancel := context.WithTimeout(ctx, c.opts.AttemptTimeout+k.watchWait)
 	defer cancel()
 	var connected atomic.Bool
