balancers: agents that end say so, agents without a report get a hello every 150 ms

A trace with the reason of each unproven lookup names single agents: 10.2.0.53 had not reported to some balancers (hellos come every 1.3 s among 155 agents, and one was lost or came before the agent was up), then left with its target; each balancer had to lose it for itself, and all had to agree. The loss was checked at hellos only. Ruled out: objects of dead VMs in the listing (all 155 listed agents had started by 35.3 s). Change: an agent whose target has exited sends a last report with Ended, after which it counts as no holder until a later incarnation reports, a peer names it or it is still listed after 2 s; agents without a report get a hello every 150 ms and when a peer names them; losses are checked every 250 ms; the log line of an unproven lookup names the agent and the reason. TestLookupWaitsForStartingAgents had the report of its late agent at a fixed time that followed from the old interval; it now comes at the second hello that the core sends it.

--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -139,8 +139,8 @@
 }
 
 // leave makes balancers place new flows elsewhere and continues to serve open flows for
-// shutdownDelay. If the target has exited or crashed, the agent's object is removed
-// instead, so that balancers that start later do not wait for the agent.
+// shutdownDelay. If the target has exited or crashed, balancers are told that no flow is
+// left and the agent's object is removed instead, so that no balancer waits for the agent.
 func (a *Agent) leave(ctx context.Context, cause error) error {
 	var state steerwire.TargetState
 	if err := a.loop.call(ctx, func(now time.Time) {
@@ -159,6 +159,7 @@
 		a.logViaLoop(ctx, "health_check", "healthy", health == passthrough.Healthy, "running", !targetEnded, "err", errText(err))
 	}
 	if targetEnded {
+		_ = a.loop.call(ctx, func(now time.Time) { a.execute(now, a.core.End(now)) }) // fails only if the process is killed
 		bounded, cancel := context.WithTimeout(ctx, unregisterTimeout)
 		defer cancel()
 		if _, err := a.opts.Store.Delete(bounded, agentPath(a.opts.PeerAddr), a.objectVersion.Load()); err != nil {
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -191,6 +191,7 @@
 	bouncedOpenings      int
 	mayHoldUnseen        bool // the target may hold flows from before the agent's start
 	leaving              bool
+	ended                bool      // the target has exited and the agent is about to
 	registered           bool      // the agent's object is in the store
 	firstHello           time.Time // first hello of a balancer
 	lastHello            time.Time // last hello of any balancer
--- a/internal/passthrough/report.go
+++ b/internal/passthrough/report.go
@@ -51,6 +51,7 @@
 		Service: c.opts.Service, State: c.state, Slots: c.target.Slots,
 		BusyCenti: int(c.load.average(now)*100 + 0.5), Flows: len(c.flows), TargetStartMillis: c.target.StartMillis,
 		FailingCenti: int(c.outcomes.FailureRate(now)*100 + 0.5),
+		Ended:        c.ended,
 		Empty:        !c.mayHoldUnseen && len(c.flows) == 0 && c.state != steerwire.TargetReady,
 	}
 	switch {
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -72,6 +72,16 @@
 	return c.actions
 }
 
+// End sends the last reports of an agent whose target has exited.
+func (c *Core) End(now time.Time) []Action {
+	c.actions = c.actions[:0]
+	c.leaving, c.ended = true, true
+	c.clearFlows(now, "ended")
+	c.setState(now, steerwire.TargetGone, "ended")
+	c.sendReports(now)
+	return c.actions
+}
+
 // HandleHeartbeat handles a heartbeat of the target.
 func (c *Core) HandleHeartbeat(now time.Time, h Heartbeat) (Verdict, []Action) {
 	c.actions = c.actions[:0]
--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -168,7 +168,7 @@
 
 // concludeRound ends a round without a holder.
 func (c *Core) concludeRound(now time.Time, key model.Flow, l *lookup) {
-	if len(l.buffered) > 0 && !c.queriedAll(now, l, c.firstReportTimeout()) {
+	if len(l.buffered) > 0 && !c.queriedAll(now, l, firstReportTimeout) {
 		l.incomplete = true // an agent that was not queried may hold the flow
 		return
 	}
@@ -281,13 +281,11 @@
 	return has(c.config.Routes[dst].Shares) || has(c.formerShares[dst])
 }
 
-// firstReportTimeout returns the time after which a lookup proceeds without a known
+// firstReportTimeout is the time after which a lookup proceeds without a known
 // agent that has never reported. Such an agent may start after the balancer, and reports
-// after the next hello. Lookups do not wait agentLossTimeout for it, because the store
-// lists agents of failed VMs until their addresses are reused.
-func (c *Core) firstReportTimeout() time.Duration {
-	return maxStartSpread + c.agentHelloInterval() + helloSlack
-}
+// after the next hello, one of which may be lost. Lookups do not wait agentLossTimeout for
+// it, because the store lists agents of failed VMs until their addresses are reused.
+const firstReportTimeout = maxStartSpread + 2*firstHelloInterval
 
 // provesUnheld reports whether a lookup proves that no agent holds the flow: all possible
 // holders were queried and answered NotHeld. An agent that first reported after the
--- a/internal/steer/lookups_test.go
+++ b/internal/steer/lookups_test.go
@@ -307,13 +307,13 @@
 }
 
 // Guards against misdirected packets after all processes were killed: an agent that starts
-// 0.3 s after a balancer and just after its hello first reports a hello interval later
-// (steersim TestFaultAllProcessesKilled, seed 35: six misdirected packets of a flow that
-// this agent held).
+// 0.3 s after a balancer and just after its hello reports at the next hello, or at the one
+// after it if a packet is lost (steersim TestFaultAllProcessesKilled, seed 35: six
+// misdirected packets of a flow that this agent held).
 func TestLookupWaitsForStartingAgents(t *testing.T) {
 	is := is.New(t)
 	var agents []netip.AddrPort
-	for i := range 59 { // hellos every 0.49 s
+	for i := range 59 {
 		agents = append(agents, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 7000))
 	}
 	c := newCore(agents...)
@@ -327,11 +327,14 @@
 	}
 	c.Packet(ms(20), data(1), raw)
 	is.Equal(unsure(ms(30)), 0)
-	for now := 71; now < 790; now += queryTimeoutMillis {
-		c.Tick(ms(now))
+	hellos, now := 0, 40
+	for ; hellos < 2 && now < 2000; now += 10 {
+		if helloSentTo(c.Tick(ms(now)), late) && now > int(maxStartSpread/time.Millisecond) {
+			hellos++ // the first is lost
+		}
 		is.Equal(unsure(ms(now+1)), 0)
 	}
-	ready(c, ms(795), 1, late)
-	c.Tick(ms(835))
-	is.Equal(forwardedTo(answer(c, ms(836), late, flowOf(1), steerwire.Held)), []netip.AddrPort{late})
+	ready(c, ms(now+2), 1, late)
+	c.Tick(ms(now + 42))
+	is.Equal(forwardedTo(answer(c, ms(now+43), late, flowOf(1), steerwire.Held)), []netip.AddrPort{late})
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -24,6 +24,12 @@
 	// helloSlack is the allowance for late reports: an agent becomes unreachable when
 	// three hellos or reports in a row are lost.
 	helloSlack = 50 * time.Millisecond
+	// firstHelloInterval is the interval between hellos to an agent that has not reported
+	// yet. Such an agent delays lookups and resets, and a hello that is lost or arrives
+	// before the agent is up must not delay them for a whole hello interval.
+	firstHelloInterval = 150 * time.Millisecond
+	// lossCheckInterval is the interval of the check for lost agents.
+	lossCheckInterval = 250 * time.Millisecond
 	// peerHelloInterval is the interval between hellos to balancers when nothing changes.
 	// A new or lost agent is advertised early, in hellos at least minPeerHelloInterval
 	// apart; a new configuration is advertised at once.
@@ -72,6 +78,9 @@
 	// unreportedAgentTimeout is the same for an agent that has not reported since its
 	// address became known, whose VM may have failed. A restarting agent is away for 0.7 s.
 	unreportedAgentTimeout = 1200 * time.Millisecond
+	// endedObjectTimeout is the time after an agent's last report within which its object
+	// disappears from fresh listings.
+	endedObjectTimeout = 2 * time.Second
 	// maxStartSpread is the maximum time between the starts of a deployment's processes
 	// after all of them were killed or lost power.
 	maxStartSpread = 300 * time.Millisecond
@@ -268,8 +277,11 @@
 	lookups           map[model.Flow]*lookup
 	targets           map[netip.AddrPort]*target
 	peers             map[netip.AddrPort]*peer
-	byService         map[model.ServiceName][]*target           // by address
-	lastAgentHello    time.Time                                 // when hellos to agents were last sent
+	byService         map[model.ServiceName][]*target // by address
+	lastAgentHello    time.Time                       // when hellos to agents were last sent
+	lastFirstHello    time.Time                       // when hellos to agents without a report were last sent
+	unreportedAgents  int                             // agents that these went to
+	lastLossCheck     time.Time
 	lastPeerHello     time.Time                                 // when hellos to balancers were last sent
 	advertiseSoon     bool                                      // an agent is new or lost; not sent to balancers yet
 	queuedQueries     map[netip.AddrPort][]steerwire.QueryEntry // by agent
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -20,7 +20,9 @@
 	reported       bool      // a report has been received
 	lossAdvertised bool      // the loss was queued for the hellos to balancers
 	unresponsive   bool      // did not answer and holds no flow; reset by its next report
+	endedAt        time.Time // when it reported that it ends with its target; zero if it may hold flows
 	report         steerwire.Report
+	lastHello      time.Time       // when a hello was last sent to it
 	override       config.Override // from decision files
 	lastReport     time.Time       // when the last report was received
 	firstReport    time.Time       // when the first report of its incarnation was received
@@ -33,20 +35,30 @@
 	return t.reported && now.Sub(t.lastReport) < c.reportTimeout()
 }
 
-// lost reports whether the agent has not reported for longer than a restart takes.
+// ended reports whether the agent has ended and nothing indicates a later one at its address.
+func (t *target) ended() bool { return !t.endedAt.IsZero() }
+
+// lost reports whether the agent has ended, or has not reported for longer than a restart
+// takes.
 func (t *target) lost(now time.Time) bool {
+	if t.ended() {
+		return true
+	}
 	if !t.reported {
 		return now.Sub(t.knownSince) >= unreportedAgentTimeout
 	}
 	return now.Sub(t.lastReport) >= agentLossTimeout
 }
 
-// unavailable reports whether the agent is left out as a possible holder of flows: all
-// reachable balancers have lost it, or it is silent and last reported that its target
-// holds no flow. An agent lost by this balancer only may still hold flows and serve them
+// unavailable reports whether the agent is left out as a possible holder of flows: it has
+// ended, all reachable balancers have lost it, or it is silent and last reported that its
+// target holds no flow. An agent lost by this balancer only may still hold flows and serve them
 // through other balancers, because this balancer's own link may be full. For the same
 // reason, no lost agent is unavailable after all other balancers have become unreachable.
 func (c *Core) unavailable(now time.Time, t *target) bool {
+	if t.ended() {
+		return true
+	}
 	if !t.lost(now) {
 		return t.report.Empty && (t.unresponsive || !c.reachable(now, t))
 	}
@@ -112,6 +124,9 @@
 	for _, a := range listed {
 		t := c.addAgent(now, a)
 		t.listed = true
+		if t.ended() && asOf.Sub(t.endedAt) > endedObjectTimeout {
+			t.endedAt = time.Time{} // a later agent may have written the object
+		}
 	}
 	if !asOf.IsZero() {
 		c.answerListingAskers(listed, asOf)
@@ -126,11 +141,34 @@
 	if t == nil {
 		t = &target{addr: a, knownSince: now}
 		c.targets[a] = t
-		c.send(a, c.helloMessage(false))
+		c.greet(now, t)
+		c.unreportedAgents++
 	}
 	return t
 }
 
+// greet sends a hello to an agent.
+func (c *Core) greet(now time.Time, t *target) {
+	t.lastHello = now
+	c.send(t.addr, c.helloMessage(false))
+}
+
+// greetUnreported repeats the hellos to agents that have not reported.
+func (c *Core) greetUnreported(now time.Time) {
+	if c.unreportedAgents == 0 || now.Sub(c.lastFirstHello) < firstHelloInterval {
+		return
+	}
+	c.lastFirstHello, c.unreportedAgents = now, 0
+	for _, a := range sortedKeys(c.targets) {
+		if t := c.targets[a]; !t.reported && !t.lost(now) {
+			c.unreportedAgents++
+			if now.Sub(t.lastHello) >= firstHelloInterval {
+				c.greet(now, t)
+			}
+		}
+	}
+}
+
 func (c *Core) helloMessage(reply bool) steerwire.Message {
 	m := steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: c.options.Node, Incarnation: c.options.Incarnation, Reply: reply, Decisions: c.decisions.Revision, DecisionDigest: c.decisions.Digest}}
 	if c.config != nil {
@@ -191,6 +229,11 @@
 	}
 	t.reported, t.lossAdvertised, t.unresponsive, t.report, t.lastReport = true, false, false, r, now
 	t.report.Balancers = nil
+	t.endedAt = time.Time{}
+	if r.Ended {
+		t.endedAt, c.advertiseSoon = now, true
+		c.log(Entry{Event: "lost", Service: r.Service, Target: from, Reason: "ended"})
+	}
 	if old.Node != r.Node || old.DataCentre != r.DataCentre || t.override.Weight == 0 {
 		c.override(t)
 	}
@@ -251,7 +294,11 @@
 	}
 	p.lost, p.dataCentre, p.unresponsive, p.noStore = h.Lost, h.DataCentre, false, h.NoStore
 	for _, a := range h.Agents {
-		c.addAgent(now, a)
+		t := c.addAgent(now, a)
+		t.endedAt = time.Time{}
+		if !t.reported && now.Sub(t.lastHello) >= minPeerHelloInterval {
+			c.greet(now, t)
+		}
 	}
 	if !h.Reply && (isNew || h.WantAgents) {
 		c.send(from, c.peerHelloMessage(now, p, true))
@@ -330,14 +377,18 @@
 	if now.Sub(c.lastQueryFlush) >= queryBatchDelay {
 		c.flushQueries(now)
 	}
+	if now.Sub(c.lastLossCheck) >= lossCheckInterval {
+		c.lastLossCheck = now
+		c.expireSilent(now)
+		c.fetchNewerConfig(now)
+	}
 	if now.Sub(c.lastAgentHello) >= c.agentHelloInterval() {
 		c.lastAgentHello = now
-		c.expireSilent(now)
 		for _, a := range sortedKeys(c.targets) {
-			c.send(a, c.helloMessage(false))
+			c.greet(now, c.targets[a])
 		}
-		c.fetchNewerConfig(now)
 	}
+	c.greetUnreported(now)
 	if since := now.Sub(c.lastPeerHello); since >= peerHelloInterval || c.advertiseSoon && since >= minPeerHelloInterval {
 		c.lastPeerHello, c.advertiseSoon = now, false
 		c.sendPeerHellos(now)
@@ -360,7 +411,7 @@
 func (c *Core) expireSilent(now time.Time) {
 	for _, a := range sortedKeys(c.targets) {
 		t := c.targets[a]
-		if t.reported && !c.reachable(now, t) && now.Sub(t.lastReport) < c.reportTimeout()+c.agentHelloInterval() {
+		if t.reported && !t.ended() && !c.reachable(now, t) && now.Sub(t.lastReport) < c.reportTimeout()+lossCheckInterval {
 			c.log(Entry{Event: "lost", Service: t.report.Service, Target: a, Reason: "no_report", Age: now.Sub(t.lastReport)})
 		}
 		if t.lost(now) && !t.lossAdvertised {
@@ -404,6 +455,10 @@
 // Next returns the time at which Tick is due.
 func (c *Core) Next() time.Time {
 	next := minTime(c.lastAgentHello.Add(c.agentHelloInterval()), c.lastPeerHello.Add(peerHelloInterval))
+	next = minTime(next, c.lastLossCheck.Add(lossCheckInterval))
+	if c.unreportedAgents > 0 {
+		next = minTime(next, c.lastFirstHello.Add(firstHelloInterval))
+	}
 	if c.advertiseSoon {
 		next = minTime(next, c.lastPeerHello.Add(minPeerHelloInterval))
 	}
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -258,6 +258,9 @@
 	Empty bool `cbor:"13,keyasint,omitzero"`
 	// FailingCenti is the percentage of the target's recent requests that failed.
 	FailingCenti int `cbor:"14,keyasint,omitzero"`
+	// Ended is set in the last report of an agent whose target has exited. No flow is left
+	// at the target, and this incarnation of the agent reports no more.
+	Ended bool `cbor:"15,keyasint,omitzero"`
 }
 
 // Message is a decoded message. Only the field of its kind is set.
