front, netstack, passnode, passthrough, steer: planned stops, pauses and failed accepts

(1) A planned stop under load cut off requests of connections accepted just before: net/http answers no request that it reads during Shutdown, and netstack's listener dropped its queue on Close (TestFaultStopWithAcceptedConnections, TestFaultCloseWithAcceptedConnections). (2) One failed Accept, such as a lack of descriptors, ended a pass-through balancer (TestFaultAcceptFails). (3) A paused agent delivered new flows by a heartbeat that was too old, or without being registered any more, because packets are handled before timers; a paused balancer placed new flows by routes removed meanwhile (TestPaused*). A stopping agent also delivers the requests that wait for a slot (TestStoppingAgentDeliversWaitingRequests). Ruled out for the HTTP edge: a second copy of an answer on a reused connection, since connections to targets carry one request (TestFaultTargetAnswersTwice).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -92,6 +92,7 @@
 	peers         *http.Client
 	nonces        *nonceCache
 	idle          *idleConns
+	unanswered    *unansweredConns
 	nextID        atomic.Uint64
 	inFlight      atomic.Int64
 	leaving       atomic.Bool // Leave was called
@@ -148,7 +149,7 @@
 		opts.Kill = context.Background()
 	}
 	f := &Front{
-		opts: opts, target: newClient(), peers: newClient(), nonces: newNonceCache(), idle: newIdleConns(),
+		opts: opts, target: newClient(), peers: newClient(), nonces: newNonceCache(), idle: newIdleConns(), unanswered: newUnansweredConns(),
 		updateReady:   make(chan struct{}, 1),
 		requests:      make(map[admission.RequestID]*request),
 		keyedRequests: make(map[uint64]*request),
@@ -171,20 +172,30 @@
 func (f *Front) Run(ctx context.Context) error {
 	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
+	var loop sync.WaitGroup
+	loop.Go(func() { f.runLoop(loopCtx) })
 	var g errgroup.Group
-	g.Go(func() error { f.runLoop(loopCtx); return nil })
+	listeners := []net.Listener{f.opts.Listener}
 	servers := []*http.Server{f.startServer(&g, f.opts.Listener, f.serveCaller, func(c net.Conn, s http.ConnState) {
 		f.idle.setState(f.opts.Now(), c, s)
 	})}
 	if f.opts.PeerListener != nil {
+		listeners = append(listeners, f.opts.PeerListener)
 		servers = append(servers, f.startServer(&g, f.opts.PeerListener, f.servePeer, nil))
 	}
 	<-ctx.Done()
 	f.stopping.Store(true)
 	f.Leave()
+	// The servers take all accepted connections before the shutdown, which would miss
+	// those still queued in a listener.
+	for _, ln := range listeners {
+		_ = ln.Close() // the servers return the cause if one does not end because of this
+	}
+	serverErr := g.Wait()
 	err := f.shutdown(servers)
 	stopLoop()
-	if serverErr := g.Wait(); serverErr != nil {
+	loop.Wait()
+	if serverErr != nil {
 		err = serverErr
 	}
 	return trace.Wrap(err)
@@ -192,15 +203,21 @@
 
 // startServer runs an HTTP server on a listener in g.
 func (f *Front) startServer(g *errgroup.Group, ln net.Listener, h http.HandlerFunc, connState func(net.Conn, http.ConnState)) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: connState}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: func(c net.Conn, s http.ConnState) {
+		f.unanswered.setState(c, s)
+		if connState != nil {
+			connState(c, s)
+		}
+	}}
 	if f.opts.Logger != nil {
 		srv.ErrorLog = f.opts.Logger.StandardLog()
 	}
 	g.Go(func() error {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return trace.Wrap(err, "serve %s", ln.Addr())
+		err := srv.Serve(ln)
+		if f.stopping.Load() && errors.Is(err, net.ErrClosed) {
+			return nil
 		}
-		return nil
+		return trace.Wrap(err, "serve %s", ln.Addr())
 	})
 	return srv
 }
@@ -216,6 +233,7 @@
 		ctx, cancel = context.WithTimeout(ctx, f.opts.ShutdownTimeout)
 		defer cancel()
 	}
+	f.unanswered.wait(ctx)
 	var g errgroup.Group
 	for _, srv := range servers {
 		g.Go(func() error {
--- a/internal/netstack/listener.go
+++ b/internal/netstack/listener.go
@@ -154,12 +154,18 @@
 	return false
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After Close it returns the connections that are still
+// queued before it fails, because their callers may have sent requests.
 func (l *Listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
 		return c, nil
 	case <-l.closed:
+	}
+	select {
+	case c := <-l.conns:
+		return c, nil
+	default:
 		return nil, net.ErrClosed
 	}
 }
--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -172,6 +172,7 @@
 	case <-a.targetExited:
 	case <-time.After(shutdownDelay):
 	}
+	_ = a.loop.call(ctx, func(now time.Time) { a.execute(now, a.core.Flush(now)) }) // fails only if the process is killed
 	return nil
 }
 
--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -95,6 +95,7 @@
 	listRequests    chan struct{}       // signals that a fresh listing of the agents is needed
 	removeRequests  chan netip.AddrPort // agents whose objects are to be removed
 	reader          *readerRole
+	confirmRequests chan struct{} // signals that the configuration is to be confirmed
 	// objectVersions holds the versions of the agents' objects. Only the goroutine of
 	// listAgents uses it.
 	objectVersions map[netip.AddrPort]uint64
@@ -102,7 +103,7 @@
 
 // NewBalancer returns a balancer with its sockets bound.
 func NewBalancer(opts BalancerOptions) (*Balancer, error) {
-	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan netip.AddrPort, callQueue), reader: newReaderRole()}
+	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan netip.AddrPort, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1)}
 	b.loop = newLoop(opts.Metrics, b.logWriter)
 	b.loop.handleDatagram, b.loop.tick, b.loop.next = b.handleDatagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -137,6 +138,7 @@
 	g.Go(func() error { return b.fetchConfigs(gctx) })
 	g.Go(func() error { return b.watchConfig(gctx) })
 	g.Go(func() error { return b.watchDecisions(gctx) })
+	g.Go(func() error { return b.confirmConfigs(gctx) })
 	g.Go(func() error { return b.listAgents(gctx) })
 	g.Go(func() error {
 		defer stop()
@@ -231,6 +233,11 @@
 			case b.fetchRequests <- a.To:
 			default: // a fetch is in progress; the next hello triggers another
 			}
+		case steer.ConfirmConfig:
+			select {
+			case b.confirmRequests <- struct{}{}:
+			default: // a read is already due
+			}
 		case steer.ListAgents:
 			select {
 			case b.listRequests <- struct{}{}:
@@ -319,6 +326,21 @@
 	}
 }
 
+// confirmConfigs reads the configuration from the store whenever the core requests it.
+func (b *Balancer) confirmConfigs(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-b.confirmRequests:
+		}
+		if o, err := b.opts.Store.Get(ctx, b.opts.ConfigPath); err == nil {
+			b.applyConfig(ctx, o.Version, o.Content, "store")
+		}
+		_ = b.loop.call(ctx, func(now time.Time) { b.execute(now, b.core.ConfigConfirmed(now)) }) // fails only at shutdown
+	}
+}
+
 // applyConfig puts a configuration into effect unless it is older than the current one.
 func (b *Balancer) applyConfig(ctx context.Context, revision uint64, content []byte, source string) {
 	next, err := b.opts.DecodeConfig(content)
--- a/internal/passnode/configrpc.go
+++ b/internal/passnode/configrpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"time"
 
@@ -14,6 +15,9 @@
 // balancers call it when they cannot get the configuration from the store.
 const methodConfig = "configuration"
 
+// acceptRetryDelay is the pause after a failed Accept.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // sharedConfig is the configuration that balancers exchange: the content and revision
 // of the object in the store, and the decision files that override it.
 type sharedConfig struct {
@@ -28,6 +32,12 @@
 	if err != nil {
 		return trace.Wrap(err, "TCP address %s", b.opts.PeerAddr)
 	}
+	return b.acceptConfigCalls(ctx, ln)
+}
+
+// acceptConfigCalls serves the connections of a listener until ctx is done. An error of
+// one Accept, such as a lack of descriptors, does not end it.
+func (b *Balancer) acceptConfigCalls(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	for {
@@ -36,7 +46,13 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			return trace.Wrap(err)
+			if errors.Is(err, net.ErrClosed) {
+				return trace.Wrap(err, "TCP address %s", b.opts.PeerAddr)
+			}
+			b.opts.Metrics.Count(CounterConfig, "accept_failed", 1)
+			b.logViaLoop(ctx, "accept_failed", "err", err.Error())
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		// A connection serves one call. The deadline closes it if the peer goes silent.
 		_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -304,11 +304,7 @@
 	if !c.reportedDiscoverable && c.discoverable(now) {
 		c.sendReports(now)
 	}
-	if c.state == steerwire.TargetReady || c.state == steerwire.TargetDraining {
-		if now.Sub(c.targetLastSeen) > maxMissedHeartbeats*c.opts.HeartbeatInterval {
-			c.setState(now, steerwire.TargetSilent, "no_heartbeat")
-		}
-	}
+	c.checkHeartbeatAge(now)
 	if now.Sub(c.lastIdleSweep) >= idleSweepInterval {
 		c.lastIdleSweep = now
 		c.removeIdleFlows(now)
--- a/internal/passthrough/requests.go
+++ b/internal/passthrough/requests.go
@@ -74,9 +74,9 @@
 // CounterWaiting counts requests that waited for a slot and how their wait ended.
 const CounterWaiting = "passthrough_requests_waiting"
 
-// startWaitingRequests delivers waiting requests as long as slots are free.
-func (c *Core) startWaitingRequests(now time.Time) {
-	for c.queue.Len() > 0 && c.load.requests < c.target.Slots+extraRequests {
+// startWaitingRequests delivers waiting requests as long as slots are free, and at least n.
+func (c *Core) startWaitingRequests(now time.Time, n int) {
+	for ; c.queue.Len() > 0 && (n > 0 || c.load.requests < c.target.Slots+extraRequests); n-- {
 		r, ok := c.queue.Next(now, c.meanRequestTime)
 		if !ok {
 			return
@@ -150,5 +150,5 @@
 	for _, k := range ended {
 		c.endRequest(now, c.flows[k])
 	}
-	c.startWaitingRequests(now)
+	c.startWaitingRequests(now, 0)
 }
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -60,6 +60,9 @@
 // discoverable reports whether all balancers can know the agent, and so look up the
 // flows that its target holds.
 func (c *Core) discoverable(now time.Time) bool {
+	if !c.lastHello.IsZero() && now.Sub(c.lastHello) >= reregisterAfter {
+		return false // balancers may have removed the object, see recordHello
+	}
 	return c.registered || !c.firstHello.IsZero() && now.Sub(c.firstHello) >= unregisteredDelay
 }
 
@@ -72,6 +75,14 @@
 	return c.actions
 }
 
+// Flush delivers the requests that wait for a slot. A stopping agent calls it last: the
+// target queues them, while their callers would have to send them again.
+func (c *Core) Flush(now time.Time) []Action {
+	c.actions = c.actions[:0]
+	c.startWaitingRequests(now, c.queue.Len())
+	return c.actions
+}
+
 // End sends the last reports of an agent whose target has exited.
 func (c *Core) End(now time.Time) []Action {
 	c.actions = c.actions[:0]
@@ -172,6 +183,17 @@
 	c.mayHoldUnseen = false
 }
 
+// checkHeartbeatAge marks a target silent that has sent neither a packet nor a heartbeat
+// for maxMissedHeartbeats intervals.
+func (c *Core) checkHeartbeatAge(now time.Time) {
+	if c.state != steerwire.TargetReady && c.state != steerwire.TargetDraining {
+		return
+	}
+	if now.Sub(c.targetLastSeen) > maxMissedHeartbeats*c.opts.HeartbeatInterval {
+		c.setState(now, steerwire.TargetSilent, "no_heartbeat")
+	}
+}
+
 func (c *Core) setState(now time.Time, s steerwire.TargetState, reason string) {
 	if s == c.state {
 		return
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -68,6 +68,12 @@
 	// balancer or the agents have just started: agents report within a few milliseconds
 	// of a hello and know the state of their target within half a second.
 	pendingOpeningTimeout = 700 * time.Millisecond
+	// pauseThreshold is the time without a tick after which the process has been paused:
+	// ticks are lossCheckInterval apart at most.
+	pauseThreshold = 1500 * time.Millisecond
+	// confirmTimeout is how long new flows wait after a pause for the store to confirm the
+	// configuration. Without an answer, the known configuration stays in effect.
+	confirmTimeout = 150 * time.Millisecond
 	// preConfigTimeout is how long packets are buffered for the first configuration. After
 	// that time the caller retransmits.
 	preConfigTimeout = 200 * time.Millisecond
@@ -134,6 +140,8 @@
 	RemoveAgent
 	// FetchConfig fetches the configuration and decision files from the balancer at To.
 	FetchConfig
+	// ConfirmConfig reads the configuration from the store and then calls ConfigConfirmed.
+	ConfirmConfig
 	// Log writes Entry to the log.
 	Log
 	// Count increments Counter.
@@ -299,6 +307,7 @@
 	actions             []Action
 	candidates          []candidate
 	lastConfigFetch     time.Time // when FetchConfig was last issued
+	unconfirmedSince    time.Time // end of a pause after which the configuration is not confirmed yet
 	storeFailing        bool      // the last call to the store failed
 	listingQuery        listingQuery
 	listingAskers       []listingAsker // balancers that wait for a listing from this one
@@ -349,6 +358,7 @@
 	c.log(Entry{Event: "configuration", Version: next.Version, Detail: next.routeCount()})
 	c.saveFormerShares(next)
 	c.base, c.config = base, next
+	c.unconfirmedSince = time.Time{}
 	c.replayPreConfig(now)
 	if advertise {
 		c.lastPeerHello = now
@@ -393,6 +403,33 @@
 	}
 }
 
+// detectPause detects that the process has not run for a while. Routes may have been
+// removed meanwhile, so new flows wait until the configuration is confirmed.
+func (c *Core) detectPause(now time.Time) {
+	pause := now.Sub(c.lastTick)
+	if pause < pauseThreshold || c.config == nil {
+		return
+	}
+	c.lastTick, c.unconfirmedSince = now, now
+	c.log(Entry{Event: "resumed", Reason: "paused", Age: pause})
+	c.actions = append(c.actions, Action{Kind: ConfirmConfig})
+}
+
+// ConfigConfirmed records that the configuration in effect is the one in the store, or
+// that the store does not answer.
+func (c *Core) ConfigConfirmed(now time.Time) []Action {
+	c.actions = c.actions[:0]
+	c.confirmConfig(now)
+	return c.actions
+}
+
+func (c *Core) confirmConfig(now time.Time) {
+	if !c.unconfirmedSince.IsZero() {
+		c.unconfirmedSince = time.Time{}
+		c.replayPreConfig(now)
+	}
+}
+
 // saveFormerShares saves the shares of routes that next changes, because open flows
 // stay with their services.
 func (c *Core) saveFormerShares(next *Config) {
@@ -493,11 +530,12 @@
 // Packet handles a packet from a caller.
 func (c *Core) Packet(now time.Time, s segment.Segment, raw []byte) []Action {
 	c.actions = c.actions[:0]
+	c.detectPause(now)
 	switch {
 	case s.FromTarget || s.Flags.Has(segment.Bounced) || s.Accepts():
 		// Only targets send accepting or bounced packets; from a caller they are forged.
 		c.count(CounterDropped, "forged")
-	case c.config == nil:
+	case c.config == nil, s.Opens() && !c.unconfirmedSince.IsZero():
 		c.bufferPreConfig(now, s, raw)
 	case s.Opens():
 		c.handleOpening(now, s, raw)
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -366,7 +366,11 @@
 // Tick handles all timeouts that are due. The runtime calls it no later than Next.
 func (c *Core) Tick(now time.Time) []Action {
 	c.actions = c.actions[:0]
+	c.detectPause(now)
 	c.lastTick = now
+	if now.Sub(c.unconfirmedSince) >= confirmTimeout {
+		c.confirmConfig(now)
+	}
 	c.retryOverdueOpenings(now)
 	c.advanceLookups(now)
 	c.checkListingQuery(now)
@@ -468,6 +472,9 @@
 	if len(c.sentOpenings) > 0 {
 		next = minTime(next, c.sentOpenings[0].openingAt.Add(openTimeout))
 	}
+	if !c.unconfirmedSince.IsZero() {
+		next = minTime(next, c.unconfirmedSince.Add(confirmTimeout))
+	}
 	if c.listingWanted {
 		next = minTime(next, c.lastListing.Add(minListInterval))
 	}
