balancers: a reader that cannot read the store ranks last

Change: a balancer whose last call failed reads for others only if fewer than three others of its data centre can.

--- a/internal/steer/readers.go
+++ b/internal/steer/readers.go
@@ -63,9 +63,12 @@
 }
 
 // readersAbove returns the balancers of the data centre that can read the store and rank
-// above this one, highest first.
+// above this one, highest first. A balancer that cannot read the store ranks last.
 func (c *Core) readersAbove(now time.Time) []netip.AddrPort {
 	own := readerRank(c.options.Peer)
+	if c.storeFailing {
+		own = 0
+	}
 	var out []netip.AddrPort
 	for a, p := range c.peers {
 		if p.dataCentre == c.options.DataCentre && !p.noStore && now.Sub(p.lastHello) < readerTimeout && readerRank(a) > own {
@@ -77,7 +80,7 @@
 }
 
 // SetStoreReachable records whether the last call to the store succeeded. If it failed,
-// the next in rank reads the store too.
+// the next in rank reads the store in its place.
 func (c *Core) SetStoreReachable(ok bool) {
 	if c.storeFailing == ok {
 		c.storeFailing, c.advertiseSoon = !ok, true
--- a/internal/steersim/readers_test.go
+++ b/internal/steersim/readers_test.go
@@ -126,6 +126,23 @@
 	})
 }
 
+// Guards against calls of balancers that the store turns away, while others can read it.
+func TestHistoryReadersThatCannotReadStop(t *testing.T) {
+	s := newSim(t, 1, 30, services)
+	s.run(5 * time.Second)
+	cut := addrsOf(s.readers())
+	s.storeCut = func(a netip.AddrPort) bool { return cut[a] }
+	s.run(unstableStoreBound)
+	for _, b := range s.readers() {
+		if cut[b.addr] {
+			s.fail("%s cannot read the store and is a reader", b.addr)
+		}
+	}
+	if n := len(s.readers()); n != readersOfFleet {
+		s.fail("%d balancers read the store, want %d", n, readersOfFleet)
+	}
+}
+
 // Guards against the same when the store turns away all readers. Each data centre goes
 // through its balancers by rank until it finds three that reach the store.
 func TestHistoryAllReadersAreCutFromTheStore(t *testing.T) {
