--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -52,6 +52,13 @@
 	Incarnation model.Incarnation `json:"incarnation"`
 }
 
+// removal is the order to remove an agent's object. The version makes it fail if the
+// agent has registered again since the core decided.
+type removal struct {
+	agent   netip.AddrPort
+	version uint64
+}
+
 // agentPath returns the path of an agent's object.
 func agentPath(peer netip.AddrPort) string {
 	return agentsPrefix + strings.ReplaceAll(peer.String(), ":", "-")
@@ -93,17 +100,17 @@
 	decisionsListed chan struct{}       // closed after the first attempt to list the decision files
 	fetchRequests   chan netip.AddrPort // balancers to fetch the configuration from
 	listRequests    chan struct{}       // signals that a fresh listing of the agents is needed
-	removeRequests  chan netip.AddrPort // agents whose objects are to be removed
+	removeRequests  chan removal        // agents whose objects are to be removed
 	reader          *readerRole
 	confirmRequests chan struct{} // signals that the configuration is to be confirmed
-	// objectVersions holds the versions of the agents' objects. Only the goroutine of
-	// listAgents uses it.
+	// objectVersions holds the versions of the agents' objects in the listing that the core
+	// knows. Only the loop uses it.
 	objectVersions map[netip.AddrPort]uint64
 }
 
 // NewBalancer returns a balancer with its sockets bound.
 func NewBalancer(opts BalancerOptions) (*Balancer, error) {
-	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan netip.AddrPort, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1)}
+	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1)}
 	b.loop = newLoop(opts.Metrics, b.logWriter)
 	b.loop.handleDatagram, b.loop.tick, b.loop.next = b.handleDatagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -245,7 +252,7 @@
 			}
 		case steer.RemoveAgent:
 			select {
-			case b.removeRequests <- a.To:
+			case b.removeRequests <- removal{a.To, b.objectVersions[a.To]}:
 			default: // the core requests the removal again later
 			}
 		case steer.Count:
@@ -380,7 +387,7 @@
 	storeReachable, fresh, agentsFound := true, true, false
 	for ctx.Err() == nil {
 		began := time.Now()
-		addrs, err := b.readAgents(ctx, fresh)
+		addrs, versions, err := b.readAgents(ctx, fresh)
 		if (err == nil) != storeReachable && ctx.Err() == nil {
 			storeReachable = err == nil
 			b.logViaLoop(ctx, "store_reachable", "reachable", storeReachable, "err", errText(err))
@@ -391,7 +398,10 @@
 				began = time.Time{}
 			}
 			agentsFound = agentsFound || len(addrs) > 0
-			_ = b.loop.call(ctx, func(now time.Time) { b.execute(now, b.core.SetAgents(now, addrs, began)) }) // fails only at shutdown
+			_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
+				b.objectVersions = versions
+				b.execute(now, b.core.SetAgents(now, addrs, began))
+			})
 		}
 		pause := listInterval
 		switch {
@@ -408,28 +418,31 @@
 			fresh = !agentsFound
 		case <-b.listRequests:
 			fresh = true
-		case a := <-b.removeRequests:
+		case r := <-b.removeRequests:
 			fresh = false
-			if _, err := b.opts.Store.Delete(ctx, agentPath(a), b.objectVersions[a]); err != nil {
+			_, err := b.opts.Store.Delete(ctx, agentPath(r.agent), r.version)
+			if err != nil {
 				b.opts.Metrics.Count(CounterRegister, "remove_failed", 1) // the core requests the removal again later
 			}
+			b.logViaLoop(ctx, "agent_object_removed", "agent", r.agent.String(), "version", r.version, "err", errText(err))
 		}
 	}
 	return nil
 }
 
-// readAgents returns the agents' addresses. The listing may be stale unless fresh is set.
-func (b *Balancer) readAgents(ctx context.Context, fresh bool) ([]netip.AddrPort, error) {
+// readAgents returns the agents' addresses and the versions of their objects. The listing
+// may be stale unless fresh is set.
+func (b *Balancer) readAgents(ctx context.Context, fresh bool) ([]netip.AddrPort, map[netip.AddrPort]uint64, error) {
 	list := b.opts.Store.ListStale
 	if fresh {
 		list = b.opts.Store.List
 	}
 	l, err := list(ctx, agentsPrefix)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	var addrs []netip.AddrPort
-	b.objectVersions = make(map[netip.AddrPort]uint64, len(l.Objects))
+	versions := make(map[netip.AddrPort]uint64, len(l.Objects))
 	for _, o := range l.Objects {
 		var a agentObject
 		if json.Unmarshal(o.Content, &a) != nil || !a.Peer.IsValid() {
@@ -437,9 +450,9 @@
 			continue
 		}
 		addrs = append(addrs, a.Peer)
-		b.objectVersions[a.Peer] = o.Version
+		versions[a.Peer] = o.Version
 	}
-	return addrs, nil
+	return addrs, versions, nil
 }
 
 func errText(err error) string {
--- /dev/null
+++ b/internal/passnode/removal_test.go
@@ -0,0 +1,84 @@
+package passnode
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/standin/store"
+	"github.com/bulrushshelf/bulrushshelf/internal/storeclient"
+	"github.com/bulrushshelf/bulrushshelf/internal/telemetry"
+)
+
+// Guards against a balancer that removes the object of an agent that has started again
+// since the decision: an order that was overtaken, as after a pause or when two balancers
+// give it.
+func TestFaultAgentRegistersBeforeItsRemoval(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := httptest.NewServer(store.New(store.Options{}))
+	t.Cleanup(func() { go server.Close() })
+	newClient := func() (*storeclient.Client, *telemetry.Metrics) {
+		m, err := telemetry.NewMetrics("test")
+		is.NoErr(err)
+		c, err := storeclient.New(storeclient.Options{URL: server.URL, Counter: m})
+		is.NoErr(err)
+		return c, m
+	}
+	operator, _ := newClient()
+	agent := netip.MustParseAddrPort("10.1.0.1:7000")
+	first, err := operator.Create(ctx, agentPath(agent), []byte(`{"peer":"10.1.0.1:7000","incarnation":1}`))
+	is.NoErr(err)
+
+	// Two balancers decide to remove the first incarnation.
+	var balancers []*Balancer
+	for range 2 {
+		client, m := newClient()
+		b, err := NewBalancer(BalancerOptions{
+			FabricAddr: netip.MustParseAddrPort("127.0.0.1:0"), PeerAddr: netip.MustParseAddrPort("127.0.0.1:0"),
+			Store: client, Metrics: m, Logger: log.New(io.Discard),
+		})
+		is.NoErr(err)
+		go func() { _ = b.loop.run(ctx) }()
+		balancers = append(balancers, b)
+	}
+	// The second incarnation registers before they carry it out.
+	second, err := operator.Update(ctx, agentPath(agent), first.Version, []byte(`{"peer":"10.1.0.1:7000","incarnation":2}`))
+	is.NoErr(err)
+	for _, b := range balancers {
+		b.removeRequests <- removal{agent, first.Version}
+		go func() { _ = b.listAgents(ctx) }()
+	}
+	failed := func(b *Balancer) uint64 {
+		return b.opts.Metrics.Totals()[telemetry.CounterKey{Name: CounterRegister, Reason: "remove_failed"}]
+	}
+	for _, b := range balancers {
+		for deadline := time.Now().Add(10 * time.Second); failed(b) == 0; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("the removal was not carried out")
+			}
+		}
+	}
+	o, err := operator.Get(ctx, agentPath(agent))
+	is.NoErr(err)
+	is.Equal(o.Version, second.Version)
+
+	// The first of two removals of the second incarnation succeeds, the other fails.
+	for _, b := range balancers {
+		b.removeRequests <- removal{agent, second.Version}
+	}
+	for deadline := time.Now().Add(10 * time.Second); failed(balancers[0])+failed(balancers[1]) < 3; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the second removal did not fail")
+		}
+	}
+	_, err = operator.Get(ctx, agentPath(agent))
+	is.Equal(storeclient.KindOf(err), storeclient.NotFound)
+}
