passthrough, demo: lists of balancers in few reports; refused feeds name their reason

Cause: each fourth report of an agent listed all balancers, 413 bytes with 59 of them, which made half of the bytes that agents send; with more than 64 balancers the lists always held the lowest addresses, so the others did not find each other. Change: a balancer that is new to an agent gets a list at once, the others one in 32 reports; longer lists rotate. Result: TestFewReportsListBalancers and TestListsOfBalancersCoverLargeFleets failed before the change.

--- a/internal/demo/faultbed_test.go
+++ b/internal/demo/faultbed_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/front"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/netstack"
 	"github.com/bulrushshelf/bulrushshelf/internal/node"
@@ -138,7 +139,9 @@
 	b.is.NoErr(req.Write(conn))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
 	b.is.NoErr(err)
-	b.is.Equal(resp.StatusCode, http.StatusOK)
+	if resp.StatusCode != http.StatusOK {
+		b.t.Fatalf("feed of %s answered with %s: %s", svc.Name, resp.Status, resp.Header.Get(front.HeaderReason))
+	}
 	go func() {
 		defer close(f.ended)
 		f.err = f.read(resp.Body)
--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -113,6 +113,10 @@
 		return
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.recordBroken("feed of %s from %s answered with %s: %s", svc.Name, c.Addr, resp.Status, resp.Header.Get(front.HeaderReason))
+		return
+	}
 	stalled := time.AfterFunc(feedStallTimeout, cancel)
 	defer stalled.Stop()
 	t.feedsOpened.Add(1)
--- a/internal/demo/traffic_test.go
+++ b/internal/demo/traffic_test.go
@@ -18,6 +18,11 @@
 	tr, err := startTraffic(b.Cluster)
 	is.NoErr(err)
 	defer tr.stopAndWait()
+	defer func() {
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		t.Logf("broken feeds: %q", tr.broken)
+	}()
 	b.eventually("all feeds are open", func() bool {
 		return int(tr.feedsOpen.Load()) == feedsPerTarget*(b.Spec.Services[0].Targets+b.Spec.Services[1].Targets)
 	})
@@ -27,6 +32,7 @@
 	time.Sleep(feedInterval) // time for other feeds to be reported by mistake
 	is.Equal(tr.feedsBroken.Load(), int64(1))
 	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	is.True(strings.Contains(tr.broken[0], "received no event")) // and not ended by TCP keepalive
+	reported := tr.broken[0]
+	tr.mu.Unlock()
+	is.True(strings.Contains(reported, "received no event")) // and not ended by TCP keepalive
 }
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -30,8 +30,11 @@
 	// balancerTimeout is the time without a hello after which a balancer is removed
 	// and gets no more reports.
 	balancerTimeout = 3 * time.Second
-	// reportsPerBalancerList is the number of reports of which one lists all known balancers.
-	reportsPerBalancerList = 4
+	// reportsPerBalancerList is the number of reports of which one lists known balancers.
+	// A balancer that is new to the agent gets a list at once and sends hellos to those on
+	// it, so that of any two balancers the later one finds the earlier. The other lists
+	// repair what lost packets hide.
+	reportsPerBalancerList = 32
 	// fullDuration is the time for which a target is full after it bounced an opening packet.
 	fullDuration = 100 * time.Millisecond
 	// startMargin is how long before its agent a target may have started and still hold
@@ -264,13 +267,18 @@
 		}
 		c.send(from, steerwire.Message{Kind: steerwire.KindHolderAnswer, Answer: a})
 	case steerwire.KindHello:
-		if _, ok := c.balancers[from]; !ok {
+		_, known := c.balancers[from]
+		if !known {
 			c.log(Entry{Event: "balancer_heard", Reason: from.String()})
 		}
 		c.recordHello(now)
 		c.balancers[from] = now
 		c.reportSequence++
-		c.send(from, steerwire.Message{Kind: steerwire.KindReport, Report: c.report(now)})
+		r := c.report(now)
+		if !known {
+			r.Balancers = c.listBalancers()
+		}
+		c.send(from, steerwire.Message{Kind: steerwire.KindReport, Report: r})
 	default:
 		c.count(CounterDropped, "unexpected_message")
 	}
--- a/internal/passthrough/report.go
+++ b/internal/passthrough/report.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
 )
 
@@ -65,9 +66,18 @@
 		r.ColdMillis = int(left / time.Millisecond)
 	}
 	if c.reportSequence%reportsPerBalancerList == 1 {
-		if r.Balancers = c.sortedBalancers(); len(r.Balancers) > steerwire.MaxPeers {
-			r.Balancers = r.Balancers[:steerwire.MaxPeers]
-		}
+		r.Balancers = c.listBalancers()
 	}
 	return r
 }
+
+// listBalancers returns the known balancers. Of more than a message holds, it returns a
+// part that differs from one report and agent to the next.
+func (c *Core) listBalancers() []netip.AddrPort {
+	all := c.sortedBalancers()
+	if len(all) <= steerwire.MaxPeers {
+		return all
+	}
+	first := int((c.reportSequence + model.HashString(string(c.opts.Node))) % uint64(len(all)))
+	return append(all[first:], all[:first]...)[:steerwire.MaxPeers]
+}
--- /dev/null
+++ b/internal/passthrough/report_test.go
@@ -0,0 +1,65 @@
+package passthrough
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/segment"
+	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
+)
+
+func balancerAt(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000)
+}
+
+func reportTo(c *Core, now time.Time, b netip.AddrPort) steerwire.Report {
+	hello := steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: "b"}}
+	r, _ := reported(c.Message(now, b, hello, segment.Segment{}))
+	return r
+}
+
+// Guards against reports that are mostly lists of balancers: with 59 balancers these were
+// half of the bytes that agents sent.
+func TestFewReportsListBalancers(t *testing.T) {
+	is := is.New(t)
+	c := newReadyCore()
+	const balancers, rounds = 59, 40
+	lists := 0
+	for round := range rounds {
+		for i := range balancers {
+			r := reportTo(c, ms(round*1000+i), balancerAt(i+1))
+			if round == 0 {
+				is.True(len(r.Balancers) > 0) // a balancer that is new finds the earlier ones
+			} else if len(r.Balancers) > 0 {
+				lists++
+			}
+		}
+	}
+	is.True(lists > 0)
+	is.True(lists <= balancers*rounds/30)
+}
+
+// Guards against balancers that stay unknown to others because lists hold no more than 64:
+// each balancer of a fleet of 150 hears of all others from 20 agents.
+func TestListsOfBalancersCoverLargeFleets(t *testing.T) {
+	is := is.New(t)
+	const balancers, agents = 150, 20
+	known := make(map[netip.AddrPort]bool)
+	for a := range agents {
+		c := New(start, Options{Node: model.NodeID("agent-" + balancerAt(a).String()), Service: "alpha", HeartbeatInterval: time.Second, FlowIdleTimeout: time.Minute})
+		for i := range balancers {
+			r := reportTo(c, start, balancerAt(i))
+			is.True(len(r.Balancers) <= steerwire.MaxPeers)
+			if i == balancers-1 {
+				for _, b := range r.Balancers {
+					known[b] = true
+				}
+			}
+		}
+	}
+	is.Equal(len(known), balancers)
+}
