balancers: a restarted balancer places no flows before it has the decision files that others have

Cause: the first configuration waits 0.1 s for the decision files. Change: while a peer's hello names decision files and none were listed yet, openings wait, for the first 2 s at most; the core fetches the files from that peer. Result: TestRestartedBalancerWaitsForDecisions failed before the change.

--- a/internal/steer/decisions.go
+++ b/internal/steer/decisions.go
@@ -30,7 +30,10 @@
 	}
 	if d.Digest == c.decisions.Digest {
 		c.decisions.Revision = d.Revision
-		return nil
+		if c.base != nil {
+			c.replayPreConfig(now) // new flows may have waited for the files
+		}
+		return c.actions
 	}
 	c.decisions = d
 	for _, t := range c.targets {
@@ -42,6 +45,21 @@
 	return c.actions
 }
 
+// decisionsMissing reports whether another balancer has decision files and this one,
+// which has just started, has not listed them yet. They may drain a target or claim an
+// address, so new flows wait until they arrive from the store or that balancer.
+func (c *Core) decisionsMissing(now time.Time) bool {
+	if c.decisions.Revision > 0 || now.Sub(c.started) >= startupPeriod {
+		return false
+	}
+	for _, p := range c.peers {
+		if p.decisions.Digest != 0 && now.Sub(p.lastHello) < peerTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // override sets the drain and weight that the decision files give a target.
 func (c *Core) override(t *target) {
 	t.override = config.Override{Weight: 1}
--- /dev/null
+++ b/internal/steer/restart_test.go
@@ -0,0 +1,60 @@
+package steer
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/segment"
+	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
+)
+
+// newRestartedCore returns the core of a balancer that has the configuration, but no
+// decision files because the store is slow. A peer has some.
+func newRestartedCore() *Core {
+	c := newCore(agentA, agentB)
+	for i, a := range []netip.AddrPort{agentA, agentB} {
+		report(c, ms(1), a, steerwire.Report{Node: []model.NodeID{"a1", "a2"}[i], Incarnation: 1, Sequence: 1, State: steerwire.TargetReady, DataCentre: "dc-1"})
+	}
+	hello := steerwire.Hello{Node: "b2", Incarnation: 1, Revision: 1, Decisions: 5, DecisionDigest: 77, DataCentre: "dc-1"}
+	c.Message(ms(2), peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: hello}, segment.Segment{})
+	return c
+}
+
+// Guards against new flows at a target that a decision file drains, because a restarted
+// balancer places them before it has the files.
+func TestRestartedBalancerWaitsForDecisions(t *testing.T) {
+	is := is.New(t)
+	c := newRestartedCore()
+	for port := uint16(1); port <= 20; port++ {
+		is.Equal(len(forwardedTo(c.Packet(ms(3), syn(port), raw))), 0)
+	}
+	got := forwardedTo(c.SetDecisions(ms(8), decisions(t, 5, map[string]string{"90-drain.yaml": "target: a1\ndrain: true\n"})))
+	is.Equal(len(got), 20)
+	for _, to := range got {
+		is.Equal(to, agentB)
+	}
+}
+
+// Guards against new flows that wait although the store has no decision files any more.
+func TestRestartedBalancerContinuesWithoutDecisions(t *testing.T) {
+	is := is.New(t)
+	c := newRestartedCore()
+	is.Equal(len(forwardedTo(c.Packet(ms(3), syn(1), raw))), 0)
+	is.Equal(len(forwardedTo(c.SetDecisions(ms(8), Decisions{Revision: 6}))), 1)
+}
+
+// Guards against a restarted balancer that never places flows because no decision files
+// arrive.
+func TestRestartedBalancerDoesNotWaitForever(t *testing.T) {
+	is := is.New(t)
+	c := newRestartedCore()
+	is.Equal(len(forwardedTo(c.Packet(ms(3), syn(1), raw))), 0)
+	for now := 100; now <= 2100; now += 100 {
+		c.Tick(ms(now))
+	}
+	ready(c, ms(2100), 2, agentA, agentB)
+	is.Equal(len(forwardedTo(c.Packet(ms(2100), syn(2), raw))), 1)
+}
