--- a/internal/docgen/capacity.go
+++ b/internal/docgen/capacity.go
@@ -168,6 +168,7 @@
 		}
 	}
 	b.WriteString(capacityNotes)
+	writeSweep(&b)
 	return b.String()
 }
 
