--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -166,7 +166,7 @@
 	Flow    model.Flow
 	Ack     uint32
 	Entry   Entry
-
+	// Incarnation is the last known one of the agent whose object is removed.
 	Incarnation model.Incarnation
 	Counter     Counter
 	Latency     time.Duration
--- a/internal/steer/ticks.go
+++ b/internal/steer/ticks.go
@@ -1,8 +1,6 @@
 package steer
 
-import (
-	"time"
-)
+import "time"
 
 // Tick handles all timeouts that are due. The runtime calls it no later than Next.
 func (c *Core) Tick(now time.Time) []Action {
--- a/internal/steersim/readers_test.go
+++ b/internal/steersim/readers_test.go
@@ -143,8 +143,9 @@
 	}
 }
 
-// Guards against the same when the store turns away all readers. Each data centre goes
-// through its balancers by rank until it finds three that reach the store.
+// Guards against balancers that keep an old configuration because the store turns away all
+// readers. Each data centre goes through its balancers by rank until it finds three that
+// reach the store.
 func TestHistoryAllReadersAreCutFromTheStore(t *testing.T) {
 	runConfigHistory(t, unstableStoreBound, func(s *sim, readers []*balancer) {
 		cut := addrsOf(readers)
