--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -362,3 +362,27 @@
 	is.Equal(backoffs(1), backoffs(1))
 	is.True(fmt.Sprint(backoffs(1)) != fmt.Sprint(backoffs(2)))
 }
+
+// Guards against calls that are not counted, or counted under the name of an object.
+func TestCallsAreCountedByOperationAndKind(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, c, n, _ := startStore(t, store.Options{}, Options{WatchWait: 10 * time.Millisecond})
+	w, err := c.Create(ctx, "agents/10.0.0.1-7000", []byte(`{}`))
+	is.NoErr(err)
+	w, err = c.Update(ctx, "agents/10.0.0.1-7000", w.Version, []byte(`{"a":1}`))
+	is.NoErr(err)
+	_, err = c.Get(ctx, "agents/10.0.0.1-7000")
+	is.NoErr(err)
+	_, err = c.List(ctx, "agents/")
+	is.NoErr(err)
+	_, err = c.ListStale(ctx, "agents/")
+	is.NoErr(err)
+	end := errors.New("enough")
+	is.Equal(c.Watch(ctx, "config/", w.Version, func(Batch) error { return end }), end)
+	_, err = c.Delete(ctx, "agents/10.0.0.1-7000", w.Version)
+	is.NoErr(err)
+	for _, label := range []string{"post_agents", "put_agents", "get_agents", "list_agents", "list_stale_agents", "watch_config", "delete_agents"} {
+		is.Equal(n.get(CounterCalls+"/"+label), int64(1)) // label
+	}
+}
