--- a/internal/docgen/sweep.go
+++ b/internal/docgen/sweep.go
@@ -20,15 +20,14 @@
 
 // sweepRows are from `fleetbench sweep` of varmevej-hq-large.
 var sweepRows = []sweepRow{
-	{"agent: processor, % of its share", [3]string{"1.5 / 3.1", "1.4 / 2.1", "1.4 / 1.8"}, "-0.24", "1.8"},
-	{"agent: memory, MB", [3]string{"6.0 / 6.6", "5.9 / 6.6", "6.6 / 6.9"}, "0.02", "7.4"},
-	{"agent: control and data, kB/s", [3]string{"32.1 / 168", "19.8 / 85.4", "17.5 / 51.8"}, "-0.51", "51.8"},
-	{"balancer: processor, % of its share", [3]string{"3.3 / 4.0", "3.7 / 4.9", "6.1 / 8.2"}, "0.31", "25.1"},
-	{"balancer: memory, MB", [3]string{"6.9 / 7.2", "7.2 / 7.7", "7.5 / 8.5"}, "0.07", "11.3"},
-	{"balancer: control and data, kB/s", [3]string{"118 / 171", "82.7 / 109", "94.7 / 199"}, "0.06", "246"},
-	{"balancer: connections", [3]string{"4.0 / 10.0", "4.0 / 12.0", "4.0 / 67.0"}, "0.82", "1332"},
-	{"configuration in force, ms", [3]string{"62.0 / 65.0", "79.0 / 79.0", "146 / 156"}, "0.38", "621"},
-	{"served again after all were killed, ms", [3]string{"3000 / 3000", "4000 / 4000", "2500 / 2500"}, "-0.07", "2500"},
+	{"agent: processor, % of its share", [3]string{"1.4 / 3.0", "1.3 / 2.0", "1.4 / 1.8"}, "-0.24", "1.8"},
+	{"agent: memory, MB", [3]string{"5.9 / 6.5", "5.9 / 6.1", "5.9 / 6.2"}, "-0.02", "6.2"},
+	{"agent: control and data, kB/s", [3]string{"31.7 / 174", "16.8 / 82.5", "12.1 / 45.3"}, "-0.59", "45.3"},
+	{"balancer: processor, % of its share", [3]string{"3.2 / 3.7", "3.7 / 4.9", "6.1 / 8.3"}, "0.35", "29.4"},
+	{"balancer: memory, MB", [3]string{"6.8 / 7.2", "7.2 / 7.7", "7.5 / 9.1"}, "0.10", "13.2"},
+	{"balancer: control and data, kB/s", [3]string{"116 / 158", "76.5 / 104", "83.9 / 281"}, "0.24", "676"},
+	{"balancer: connections", [3]string{"4.0 / 8.0", "4.0 / 19.0", "4.0 / 83.0"}, "1.01", "3384"},
+	{"configuration in force, ms", [3]string{"61.0 / 67.0", "81.0 / 85.0", "145 / 159"}, "0.37", "623"},
 }
 
 // writeSweep writes the section on pass-through mode.
@@ -50,7 +49,8 @@
 ## Pass-through mode on the users' platform
 
 The slopes are what ` + "`fleetbench sweep`" + ` of varmevej-hq-large shows; the last column carries the busiest node on by that power
-and was not played.
+and was not played. No rule was broken, and the three sizes served 0.996, 0.997 and 0.996 of the requests. Connections come
+from balancers that fetch a configuration from a reader at the same moment.
 
 `
 
@@ -64,7 +64,7 @@
 | hellos between balancers | 12,000 a second sent, about 70 B each | one a second to each | 840 kB/s against 3: only balancers of the data centre, and relays to others |
 | reports of an agent | as many as hellos it gets | one for each hello | nothing once hellos are bounded |
 | lookups | every agent once for each flow that no balancer of the data centre knows | hints first, batches, answers kept | 59,000 queries a flow: the agents of the address's services first |
-| memory of a balancer | 11.3 MB by the sweep; an agent's entry and report take about 0.5 kB, 30 MB for 59,000 | maps | fits 256 MB |
+| memory of a balancer | 13.2 MB by the sweep; an agent's entry and report take about 0.5 kB, 30 MB for 59,000 | maps | fits 256 MB |
 
 The first four rows are arithmetic on the intervals in internal/steer and internal/passnode; the entry of an agent is an
 estimate. The mechanisms of the product's own mode above (member records, digests, relays between data centres) carry these
