--- a/internal/docgen/sweep.go
+++ b/internal/docgen/sweep.go
@@ -49,8 +49,7 @@
 ## Pass-through mode on the users' platform
 
 The slopes are what ` + "`fleetbench sweep`" + ` of varmevej-hq-large shows; the last column carries the busiest node on by that power
-and was not played. No rule was broken, and the three sizes served 0.996, 0.997 and 0.996 of the requests. Connections come
-from balancers that fetch a configuration from a reader at the same moment.
+and was not played. No rule was broken, and the three sizes served 0.996, 0.997 and 0.996 of the requests.
 
 `
 
