steer: a configuration that is received and not put into effect is logged

Callers were served by an older configuration, and the logs could not tell whether a balancer had never received the newer one or had ignored it: an older revision was dropped without a line. Change: configuration_ignored with the ignored version, and a counter. The order of configurations is unchanged. Evidence: TestOlderConfigurationIsIgnored checks the line.

--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -193,6 +193,8 @@
 	CounterReset   = "steer_flows_reset"
 	CounterMoved   = "steer_openings_moved"
 	CounterLookups = "steer_asks"
+	// CounterIgnoredConfigs counts configurations that were received and not put into effect.
+	CounterIgnoredConfigs = "steer_configurations_ignored"
 )
 
 // The latency histograms of the core.
@@ -351,7 +353,11 @@
 func (c *Core) setConfig(now time.Time, next *Config, advertise bool) []Action {
 	c.actions = c.actions[:0]
 	if c.base != nil && next.Revision <= c.base.Revision {
-		return nil
+		if next.Version != c.base.Version {
+			c.log(Entry{Event: "configuration_ignored", Reason: "older_revision", Version: next.Version})
+			c.count(CounterIgnoredConfigs, "older_revision")
+		}
+		return c.actions
 	}
 	c.replaceConfig(now, next, advertise)
 	return c.actions
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -101,6 +101,16 @@
 	return false
 }
 
+// logged reports whether actions log an event.
+func logged(actions []Action, event string) bool {
+	for _, a := range actions {
+		if a.Kind == Log && a.Entry.Event == event {
+			return true
+		}
+	}
+	return false
+}
+
 func queryCount(actions []Action) int {
 	n := 0
 	for _, a := range actions {
@@ -142,8 +152,8 @@
 	is := is.New(t)
 	c := newCore(agentA)
 	c.SetConfig(start, configOf(5, "beta"))
-	c.SetConfig(start, configOf(4, "alpha"))
-	c.SetConfig(start, configOf(5, "alpha"))
+	is.True(logged(c.SetConfig(start, configOf(4, "alpha")), "configuration_ignored"))
+	is.True(!logged(c.SetConfig(start, configOf(5, "alpha")), "configuration_ignored")) // the same one again
 	is.Equal(c.Config().Routes[route].Shares[0].Service, model.ServiceName("beta"))
 }
 
