--- a/internal/steersim/readers_test.go
+++ b/internal/steersim/readers_test.go
@@ -52,8 +52,8 @@
 func (s *sim) checkConfigInForce() {
 	s.t.Helper()
 	for _, b := range s.balancers {
-		if b.core != nil && b.core.Config().Revision != s.config.Revision {
-			s.fail("balancer %s has revision %d, the store has %d", b.addr, b.core.Config().Revision, s.config.Revision)
+		if b.core != nil && b.core.Config().Version != s.config.Version {
+			s.fail("balancer %s has version %d, the store has %d", b.addr, b.core.Config().Version, s.config.Version)
 		}
 	}
 }
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -208,6 +208,7 @@
 	inRotation bool
 
 	lastStoreAnswer time.Time
+	lastRead        *steer.Config // last configuration read from the store
 }
 
 func (s *sim) addBalancer() *balancer {
@@ -226,6 +227,7 @@
 	})
 	b.core.AddSeeds(s.now, []netip.AddrPort{s.balancers[0].addr})
 	if !s.storeCut(b.addr) {
+		b.lastRead = s.config
 		b.execute(b.core.SetConfig(s.now, s.config))
 		b.execute(b.core.SetAgents(s.now, s.listed(), time.Time{}))
 	}
@@ -243,8 +245,9 @@
 	if core.ReadsStore(s.now) {
 		if !s.storeCut(b.addr) {
 			b.lastStoreAnswer = s.now
-			if core.Config() == nil || core.Config().Revision < s.config.Revision {
+			if b.lastRead != s.config {
 				s.watches++
+				b.lastRead = s.config
 				b.execute(core.SetConfig(s.now, s.config))
 			}
 		}
