steer: configurations are ordered by the operator's version, not by store revision

Cause: balancers ordered configurations, their own and those of peers, by a revision that the store assigns and gives out again after it is restored; a later configuration at such a revision was received and ignored. Class: an order taken from a counter that is not monotonic. Change: the operator's version, which only increases, orders configurations; hellos carry it. A rolled back configuration is not taken, a rewritten one changes nothing, a later one is in effect whatever its revision. Balancers of an earlier release are compared by revision as before.

--- a/internal/passnode/configrpc.go
+++ b/internal/passnode/configrpc.go
@@ -88,7 +88,7 @@
 			if c.Decisions != nil {
 				b.applyDecisions(ctx, *c.Decisions, "peer")
 			}
-			if c.Revision > 0 {
+			if len(c.Content) > 0 {
 				b.applyConfig(ctx, c.Revision, c.Content, "peer")
 			}
 		}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -208,9 +208,11 @@
 
 // Config is the configuration of a core.
 type Config struct {
-	Revision uint64 // revision in the store
-	Version  int64  // version set by the operator
-	Routes   map[netip.AddrPort]Route
+	Revision uint64 // revision in the store, which a restored store assigns again
+	// Version is set by the operator and increases with each change. It orders
+	// configurations, also across a restoration of the store.
+	Version int64
+	Routes  map[netip.AddrPort]Route
 	// IdleTimeout is the time without packets after which a flow's entry expires.
 	IdleTimeout time.Duration
 }
@@ -352,10 +354,10 @@
 
 func (c *Core) setConfig(now time.Time, next *Config, advertise bool) []Action {
 	c.actions = c.actions[:0]
-	if c.base != nil && next.Revision <= c.base.Revision {
+	if c.base != nil && next.Version <= c.base.Version {
 		if next.Version != c.base.Version {
-			c.log(Entry{Event: "configuration_ignored", Reason: "older_revision", Version: next.Version})
-			c.count(CounterIgnoredConfigs, "older_revision")
+			c.log(Entry{Event: "configuration_ignored", Reason: "older_version", Version: next.Version})
+			c.count(CounterIgnoredConfigs, "older_version")
 		}
 		return c.actions
 	}
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -157,6 +157,22 @@
 	is.Equal(c.Config().Routes[route].Shares[0].Service, model.ServiceName("beta"))
 }
 
+// Guards against a peer's newer configuration that is not fetched because the store, restored
+// from a copy, gave it a revision below the one in effect.
+func TestNewerVersionAtALowerRevisionIsFetched(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA)
+	c.SetConfig(start, configOf(9, "alpha"))
+	hello := steerwire.Hello{Node: "b2", Incarnation: 1, Revision: 4, ConfigVersion: 10}
+	is.True(hasAction(c.Message(ms(1), peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: hello}, segment.Segment{}), FetchConfig))
+	next := configOf(10, "beta")
+	next.Revision = 4
+	c.SetPeerConfig(ms(2), next)
+	is.Equal(c.Config().Routes[route].Shares[0].Service, model.ServiceName("beta"))
+	hello.Revision, hello.ConfigVersion = 12, 3 // a balancer that has read the copy
+	is.True(!hasAction(c.Message(at(time.Second), peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: hello}, segment.Segment{}), FetchConfig))
+}
+
 // Guards against opening packets that are lost with a target or its link.
 func TestUnansweredOpeningIsRetriedAtAnotherTarget(t *testing.T) {
 	is := is.New(t)
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -100,7 +100,7 @@
 	lastHello    time.Time // zero if none was received
 	knownSince   time.Time // when its address became known
 	incarnation  model.Incarnation
-	revision     uint64
+	config       configStamp
 	decisions    Decisions // revision and digest of its decision files
 	wantsAgents  bool
 	seed         bool
@@ -110,6 +110,19 @@
 	lost         []netip.AddrPort // agents that it reports as lost
 }
 
+// configStamp identifies the configuration that a balancer has in effect.
+type configStamp struct {
+	revision uint64
+	version  int64 // 0 from a balancer of an earlier release, which sends the revision only
+}
+
+func (s configStamp) newerThan(t configStamp) bool {
+	if s.version == 0 || t.version == 0 {
+		return s.revision > t.revision
+	}
+	return s.version > t.version
+}
+
 // SetAgents sets the addresses of the agents that the store lists. asOf is a time at
 // which the listing was complete, zero if the listing may be outdated.
 func (c *Core) SetAgents(now time.Time, listed []netip.AddrPort, asOf time.Time) []Action {
@@ -173,7 +186,7 @@
 func (c *Core) helloMessage(reply bool) steerwire.Message {
 	m := steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: c.options.Node, Incarnation: c.options.Incarnation, Reply: reply, Decisions: c.decisions.Revision, DecisionDigest: c.decisions.Digest}}
 	if c.config != nil {
-		m.Hello.Revision = c.config.Revision
+		m.Hello.Revision, m.Hello.ConfigVersion = c.config.Revision, c.config.Version
 	}
 	return m
 }
@@ -286,10 +299,13 @@
 	p := c.addPeer(now, from, false)
 	isNew := p.lastHello.IsZero() || p.incarnation != h.Incarnation
 	if isNew {
-		c.log(Entry{Event: "balancer", Target: from, Reason: "heard", Version: int64(h.Revision)})
+		c.log(Entry{Event: "balancer", Target: from, Reason: "heard", Version: h.ConfigVersion})
+		p.config = configStamp{}
 	}
 	p.lastHello, p.incarnation, p.wantsAgents = now, h.Incarnation, h.WantAgents
-	p.revision = max(p.revision, h.Revision)
+	if next := (configStamp{h.Revision, h.ConfigVersion}); next.newerThan(p.config) {
+		p.config = next
+	}
 	if h.Decisions > p.decisions.Revision {
 		p.decisions = Decisions{Revision: h.Decisions, Digest: h.DecisionDigest}
 	}
@@ -313,13 +329,13 @@
 	if now.Sub(c.lastConfigFetch) < helloInterval {
 		return
 	}
-	var own uint64
+	var own configStamp
 	if c.base != nil {
-		own = c.base.Revision
+		own = configStamp{c.base.Revision, c.base.Version}
 	}
 	var newer []*peer
 	for _, p := range c.peers {
-		isNewer := p.revision > own || p.decisions.Revision > c.decisions.Revision && p.decisions.Digest != c.decisions.Digest
+		isNewer := p.config.newerThan(own) || p.decisions.Revision > c.decisions.Revision && p.decisions.Digest != c.decisions.Digest
 		if isNewer && now.Sub(p.lastHello) < peerTimeout {
 			newer = append(newer, p)
 		}
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -200,6 +200,8 @@
 	// NoStore is set if the sender cannot read the store for others: it is stopping, or its
 	// last call to the store failed. Sent to balancers.
 	NoStore bool `cbor:"11,keyasint,omitzero"`
+	// ConfigVersion is the operator's version of the configuration in effect.
+	ConfigVersion int64 `cbor:"12,keyasint,omitzero"`
 }
 
 // ListingQuery asks a store reader for a listing that starts after the receipt of the query.
