steer, passthrough: agents whose objects a restored store has lost write them again

Callers of targets that came after the copy were served only by balancers that had known them: an agent writes its object once at its start, so after the store returned from a copy the object was missing for good, and a balancer that started later listed fewer agents. Class: an acknowledged write taken for lasting. Change: balancers know the store's epoch, from its responses, from listings and from each other's hellos. A rise makes the readers list the agents at once; hellos tell agents that the listing lacks, and only they write again. An agent does so once an epoch, or when its last write is older than any listing, which also repairs an object removed by mistake. A listing of an earlier epoch is not used.

--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -60,10 +60,11 @@
 	peers         *socket
 	local         *socket
 	sender        datagramSender
-	helloReceived atomic.Bool   // a balancer's hello was received
 	targetExited  chan struct{} // closed when the target has announced its exit
 	reregister    chan struct{} // signals that the agent's object may have been removed
-	objectVersion atomic.Uint64 // of the agent's object in the store
+	helloReceived atomic.Bool   // a balancer's hello was received
+	// object is the position of the agent's object in the store, nil before the first write.
+	object atomic.Pointer[storeclient.Position]
 }
 
 // NewAgent returns an agent with its sockets bound.
@@ -120,7 +121,11 @@
 	g.Go(func() error { return a.local.read(gctx) })
 	g.Go(func() error { return a.keepRegistered(gctx) })
 	g.Go(func() error { return a.advertise(gctx) })
-	g.Go(func() error { return logEpochs(gctx, a.opts.Store, a.logViaLoop) })
+	g.Go(func() error {
+		return watchEpochs(gctx, a.opts.Store, func(epoch, before uint64) {
+			a.logViaLoop(gctx, "store_epoch", "epoch", epoch, "before", before)
+		})
+	})
 	if !a.opts.Core.FirstStart {
 		g.Go(func() error { return a.checkTarget(gctx) })
 	}
@@ -179,9 +184,13 @@
 // removeObject removes the agent's object, and repeats the call while the store turns it
 // away. Balancers remove the object later if that fails.
 func (a *Agent) removeObject(ctx context.Context) {
+	object := a.object.Load()
+	if object == nil {
+		return
+	}
 	for pause := registerRetryInterval; ; pause *= 2 {
-		_, err := a.opts.Store.Delete(ctx, agentPath(a.opts.PeerAddr), a.objectVersion.Load())
-		a.logViaLoop(ctx, "unregistered", "version", a.objectVersion.Load(), "err", errText(err))
+		_, err := a.opts.Store.Delete(ctx, agentPath(a.opts.PeerAddr), object.Revision)
+		a.logViaLoop(ctx, "unregistered", "version", object.String(), "err", errText(err))
 		if err == nil {
 			return
 		}
@@ -227,11 +236,12 @@
 			w, err = a.opts.Store.Update(ctx, agentPath(a.opts.PeerAddr), conflict.Version, content)
 		}
 		if err == nil {
-			a.objectVersion.Store(w.Version)
+			at := storeclient.Position{Epoch: w.Epoch, Revision: w.Version}
+			a.object.Store(&at)
 			a.opts.Metrics.Count(CounterRegister, "written", 1)
 			_ = a.loop.call(ctx, func(now time.Time) { // fails only at shutdown
-				a.logWriter.enqueue(now, "registered", "version", w.Version, "replaced", conflict != nil)
-				a.execute(now, a.core.Registered(now))
+				a.logWriter.enqueue(now, "registered", "version", at.String(), "replaced", conflict != nil)
+				a.execute(now, a.core.Registered(now, w.Epoch))
 			})
 			return nil
 		}
@@ -293,6 +303,9 @@
 		a.opts.Metrics.Count(CounterMalformed, "message", 1)
 		return
 	}
+	if m.Kind == steerwire.KindHello {
+		a.helloReceived.Store(true)
+	}
 	var s segment.Segment
 	if m.Kind == steerwire.KindForward {
 		if s, err = a.opts.Codec.Parse(m.Forward.Packet, false); err != nil {
@@ -300,9 +313,6 @@
 			return
 		}
 	}
-	if m.Kind == steerwire.KindHello {
-		a.helloReceived.Store(true)
-	}
 	a.execute(now, a.core.Message(now, d.from, m, s))
 }
 
--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -55,13 +55,13 @@
 // removal is the order to remove an agent's object. The version makes it fail if the
 // agent has registered again since the core decided.
 type removal struct {
-	agent   netip.AddrPort
-	version uint64
+	agent netip.AddrPort
+	at    storeclient.Position
 }
 
 // listedAgent is an agent's object in a listing.
 type listedAgent struct {
-	version     uint64
+	at          storeclient.Position // version of the object in the epoch of the listing
 	incarnation model.Incarnation
 }
 
@@ -151,7 +151,11 @@
 	g.Go(func() error { return b.fetchConfigs(gctx) })
 	g.Go(func() error { return b.watchConfig(gctx) })
 	g.Go(func() error { return b.watchDecisions(gctx) })
-	g.Go(func() error { return logEpochs(gctx, b.opts.Store, b.logViaLoop) })
+	g.Go(func() error {
+		return watchEpochs(gctx, b.opts.Store, func(epoch, _ uint64) {
+			_ = b.loop.call(gctx, func(now time.Time) { b.execute(now, b.core.SetStoreEpoch(now, epoch)) }) // fails only at shutdown
+		})
+	})
 	g.Go(func() error { return b.confirmConfigs(gctx) })
 	g.Go(func() error { return b.listAgents(gctx) })
 	g.Go(func() error {
@@ -263,7 +267,7 @@
 				continue
 			}
 			select {
-			case b.removeRequests <- removal{a.To, b.listed[a.To].version}:
+			case b.removeRequests <- removal{a.To, b.listed[a.To].at}:
 			default: // the core requests the removal again later
 			}
 		case steer.Count:
@@ -395,20 +399,20 @@
 	storeReachable, fresh, agentsFound := true, true, false
 	for ctx.Err() == nil {
 		began := time.Now()
-		addrs, listed, err := b.readAgents(ctx, fresh)
+		listing, objects, err := b.readAgents(ctx, fresh)
 		if (err == nil) != storeReachable && ctx.Err() == nil {
 			storeReachable = err == nil
 			b.logViaLoop(ctx, "store_reachable", "reachable", storeReachable, "err", errText(err))
 			_ = b.loop.call(ctx, func(time.Time) { b.core.SetStoreReachable(storeReachable) }) // fails only at shutdown
 		}
 		if err == nil {
-			if !fresh {
-				began = time.Time{}
+			if fresh {
+				listing.AsOf = began
 			}
-			agentsFound = agentsFound || len(addrs) > 0
+			agentsFound = agentsFound || len(listing.Agents) > 0
 			_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
-				b.listed = listed
-				b.execute(now, b.core.SetAgents(now, addrs, began))
+				b.listed = objects
+				b.execute(now, b.core.SetAgents(now, listing))
 			})
 		}
 		pause := listInterval
@@ -428,28 +432,28 @@
 			fresh = true
 		case r := <-b.removeRequests:
 			fresh = false
-			_, err := b.opts.Store.Delete(ctx, agentPath(r.agent), r.version)
+			_, err := b.opts.Store.Delete(ctx, agentPath(r.agent), r.at.Revision)
 			if err != nil {
 				b.opts.Metrics.Count(CounterRegister, "remove_failed", 1) // the core requests the removal again later
 			}
-			b.logViaLoop(ctx, "agent_object_removed", "agent", r.agent.String(), "version", r.version, "err", errText(err))
+			b.logViaLoop(ctx, "agent_object_removed", "agent", r.agent.String(), "version", r.at.String(), "err", errText(err))
 		}
 	}
 	return nil
 }
 
-// readAgents returns the agents' addresses and their objects. The listing may be stale
+// readAgents returns the listed agents and their objects. The listing may be stale
 // unless fresh is set.
-func (b *Balancer) readAgents(ctx context.Context, fresh bool) ([]netip.AddrPort, map[netip.AddrPort]listedAgent, error) {
+func (b *Balancer) readAgents(ctx context.Context, fresh bool) (steer.AgentListing, map[netip.AddrPort]listedAgent, error) {
 	list := b.opts.Store.ListStale
 	if fresh {
 		list = b.opts.Store.List
 	}
 	l, err := list(ctx, agentsPrefix)
 	if err != nil {
-		return nil, nil, err
+		return steer.AgentListing{}, nil, err
 	}
-	var addrs []netip.AddrPort
+	out := steer.AgentListing{Epoch: l.Position.Epoch}
 	listed := make(map[netip.AddrPort]listedAgent, len(l.Objects))
 	for _, o := range l.Objects {
 		var a agentObject
@@ -457,10 +461,10 @@
 			b.opts.Metrics.Count(CounterMalformed, "agent_object", 1) // skipped; the other objects are used
 			continue
 		}
-		addrs = append(addrs, a.Peer)
-		listed[a.Peer] = listedAgent{o.Version, a.Incarnation}
+		out.Agents = append(out.Agents, a.Peer)
+		listed[a.Peer] = listedAgent{storeclient.Position{Epoch: l.Position.Epoch, Revision: o.Version}, a.Incarnation}
 	}
-	return addrs, listed, nil
+	return out, listed, nil
 }
 
 func errText(err error) string {
--- a/internal/passnode/epochs.go
+++ b/internal/passnode/epochs.go
@@ -6,12 +6,12 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/storeclient"
 )
 
-// logEpochs logs each epoch of the store that a response shows.
-func logEpochs(ctx context.Context, store *storeclient.Client, log func(ctx context.Context, msg string, args ...any)) error {
+// watchEpochs passes on each epoch of the store that a response shows, and the one before.
+func watchEpochs(ctx context.Context, store *storeclient.Client, handle func(epoch, before uint64)) error {
 	for last := uint64(0); ; {
 		epoch, changed := store.Epoch()
 		if epoch != last {
-			log(ctx, "store_epoch", "epoch", epoch, "before", last)
+			handle(epoch, last)
 			last = epoch
 		}
 		select {
--- a/internal/passnode/removal_test.go
+++ b/internal/passnode/removal_test.go
@@ -54,7 +54,7 @@
 	second, err := operator.Update(ctx, agentPath(agent), first.Version, []byte(`{"peer":"10.1.0.1:7000","incarnation":2}`))
 	is.NoErr(err)
 	for _, b := range balancers {
-		b.removeRequests <- removal{agent, first.Version}
+		b.removeRequests <- removal{agent, storeclient.Position{Epoch: first.Epoch, Revision: first.Version}}
 		go func() { _ = b.listAgents(ctx) }()
 	}
 	failed := func(b *Balancer) uint64 {
@@ -73,7 +73,7 @@
 
 	// The first of two removals of the second incarnation succeeds, the other fails.
 	for _, b := range balancers {
-		b.removeRequests <- removal{agent, second.Version}
+		b.removeRequests <- removal{agent, storeclient.Position{Epoch: second.Epoch, Revision: second.Version}}
 	}
 	for deadline := time.Now().Add(10 * time.Second); failed(balancers[0])+failed(balancers[1]) < 3; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
@@ -90,10 +90,10 @@
 	is := is.New(t)
 	b := newTestBalancer(t)
 	agent := netip.MustParseAddrPort("10.1.0.1:7000")
-	b.listed = map[netip.AddrPort]listedAgent{agent: {version: 9, incarnation: 2}}
+	b.listed = map[netip.AddrPort]listedAgent{agent: {at: storeclient.Position{Epoch: 1, Revision: 9}, incarnation: 2}}
 	now := time.Now()
 	b.execute(now, []steer.Action{{Kind: steer.RemoveAgent, To: agent, Incarnation: 1}})
 	is.Equal(len(b.removeRequests), 0)
 	b.execute(now, []steer.Action{{Kind: steer.RemoveAgent, To: agent, Incarnation: 2}})
-	is.Equal(<-b.removeRequests, removal{agent, 9})
+	is.Equal(<-b.removeRequests, removal{agent, storeclient.Position{Epoch: 1, Revision: 9}})
 }
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -49,6 +49,9 @@
 	// reregisterAfter is the time without a hello of any balancer after which the agent
 	// writes its object again: half of the time after which balancers remove it.
 	reregisterAfter = 30 * time.Second
+	// listedDelay is the time after a registration in which a listing of the store may still
+	// lack the agent: the interval of listings and the age of one that may be outdated.
+	listedDelay = 5 * time.Second
 	// idleSweepInterval is the interval of the search for idle flows.
 	idleSweepInterval = time.Second
 	// closedFlowTTL is how long a flow is kept after a reset or a FIN in both directions,
@@ -196,6 +199,8 @@
 	leaving              bool
 	ended                bool      // the target has exited and the agent is about to
 	registered           bool      // the agent's object is in the store
+	registeredAt         time.Time // when it was last written, or was last found to be missing
+	registeredEpoch      uint64    // epoch of the store at that time
 	firstHello           time.Time // first hello of a balancer
 	lastHello            time.Time // last hello of any balancer
 	reportedDiscoverable bool      // value of discoverable in the last reports
@@ -271,7 +276,7 @@
 		if !known {
 			c.log(Entry{Event: "balancer_heard", Reason: from.String()})
 		}
-		c.recordHello(now)
+		c.recordHello(now, m.Hello)
 		c.balancers[from] = now
 		c.reportSequence++
 		r := c.report(now)
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -35,7 +35,7 @@
 		Node: "a1", Incarnation: model.Incarnation(start.UnixMilli()), Service: "alpha",
 		HeartbeatInterval: time.Second, FlowIdleTimeout: time.Minute, FirstStart: firstStart, FullSegment: fullSegment,
 	})
-	c.Registered(start)
+	c.Registered(start, 1)
 	return c
 }
 
@@ -390,7 +390,7 @@
 	}
 	is.True(reregistered)
 	is.Equal(refusal(forward(c, ms(40_003), syn(1))), steerwire.ReasonUnready)
-	c.Registered(ms(40_010))
+	c.Registered(ms(40_010), 1)
 	is.Equal(delivered(forward(c, ms(40_011), syn(1))), 1)
 }
 
--- a/internal/passthrough/pause_test.go
+++ b/internal/passthrough/pause_test.go
@@ -38,7 +38,7 @@
 	}
 	is.True(registers)
 	is.Equal(delivered(forward(c, wake, syn(2))), 0)
-	c.Registered(wake.Add(10 * time.Millisecond))
+	c.Registered(wake.Add(10*time.Millisecond), 1)
 	is.Equal(delivered(forward(c, wake.Add(11*time.Millisecond), syn(3))), 1)
 }
 
--- a/internal/passthrough/report.go
+++ b/internal/passthrough/report.go
@@ -20,7 +20,7 @@
 
 // recordHello records the receipt of a hello. If none was received for reregisterAfter,
 // balancers may have removed the agent's object, so it is written again.
-func (c *Core) recordHello(now time.Time) {
+func (c *Core) recordHello(now time.Time, h steerwire.Hello) {
 	if c.firstHello.IsZero() {
 		c.firstHello = now
 	} else if now.Sub(c.lastHello) >= reregisterAfter && c.registered {
@@ -29,6 +29,21 @@
 		c.actions = append(c.actions, Action{Kind: Register})
 	}
 	c.lastHello = now
+	if h.Unlisted {
+		c.handleUnlisted(now, h.Epoch)
+	}
+}
+
+// handleUnlisted writes the agent's object again if a balancer does not find it in the
+// store: it was removed by mistake, or lost when the store was restored from a copy. Flows
+// are accepted meanwhile, because the balancers know the agent from its reports.
+func (c *Core) handleUnlisted(now time.Time, epoch uint64) {
+	if !c.registered || c.leaving || epoch <= c.registeredEpoch && now.Sub(c.registeredAt) < listedDelay {
+		return
+	}
+	c.log(Entry{Event: "registering", Reason: "unlisted", Sequence: epoch, Age: now.Sub(c.registeredAt)})
+	c.registeredAt, c.registeredEpoch = now, epoch
+	c.actions = append(c.actions, Action{Kind: Register})
 }
 
 func (c *Core) sortedBalancers() []netip.AddrPort {
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -46,10 +46,11 @@
 	return "invalid"
 }
 
-// Registered records that the agent's object is in the store. Every balancer can find
-// the agent from now on, so its target accepts flows.
-func (c *Core) Registered(now time.Time) []Action {
+// Registered records that the agent's object was written to the store in an epoch. Every
+// balancer can find the agent from now on, so its target accepts flows.
+func (c *Core) Registered(now time.Time, epoch uint64) []Action {
 	c.actions = c.actions[:0]
+	c.registeredAt, c.registeredEpoch = now, epoch
 	if !c.registered {
 		c.registered = true
 		c.sendReports(now)
--- a/internal/steer/fuzz_test.go
+++ b/internal/steer/fuzz_test.go
@@ -49,7 +49,7 @@
 			c.Tick(ms(now))
 			c.Packet(ms(now), syn(uint16(now)), raw)
 			c.Packet(ms(now), data(uint16(now+1)), raw)
-			c.SetAgents(ms(now), fleetOf(3), ms(now-1))
+			c.SetAgents(ms(now), AgentListing{Agents: fleetOf(3), AsOf: ms(now - 1)})
 		}
 	})
 }
--- a/internal/steer/lookups_test.go
+++ b/internal/steer/lookups_test.go
@@ -66,8 +66,8 @@
 	got := answer(c, ms(2), agentB, flowOf(1), steerwire.NotHeld)
 	is.True(hasAction(got, ListAgents))
 	is.True(!hasAction(got, ResetCaller))
-	is.True(!hasAction(c.SetAgents(ms(9), []netip.AddrPort{agentA, agentB}, at(-time.Millisecond)), ResetCaller)) // the listing is older than the packet
-	is.True(hasAction(c.SetAgents(ms(12), []netip.AddrPort{agentA, agentB}, ms(3)), ResetCaller))
+	is.True(!hasAction(c.SetAgents(ms(9), AgentListing{Agents: []netip.AddrPort{agentA, agentB}, AsOf: at(-time.Millisecond)}), ResetCaller)) // the listing is older than the packet
+	is.True(hasAction(c.SetAgents(ms(12), AgentListing{Agents: []netip.AddrPort{agentA, agentB}, AsOf: ms(3)}), ResetCaller))
 }
 
 // Guards against the reset of an open flow whose agent first reported between the query
@@ -80,7 +80,7 @@
 	c.Packet(start, data(1), raw)
 	is.True(hasAction(answer(c, ms(1), agentA, flowOf(1), steerwire.NotHeld), ListAgents))
 	ready(c, ms(2), 1, agentB)
-	got := c.SetAgents(ms(9), []netip.AddrPort{agentA, agentB}, ms(3))
+	got := c.SetAgents(ms(9), AgentListing{Agents: []netip.AddrPort{agentA, agentB}, AsOf: ms(3)})
 	is.True(!hasAction(got, ResetCaller))
 	is.Equal(queryCountWithBatch(c, ms(9), got), 1) // agentA's answer is final
 	is.True(!hasAction(answer(c, ms(21), agentB, flowOf(1), steerwire.Held), ResetCaller))
@@ -157,7 +157,7 @@
 		c.Tick(now.Add(queryBatchDelay))
 		answer(c, now.Add(11*time.Millisecond), agentA, flowOf(port), steerwire.NotHeld)
 		answer(c, now.Add(12*time.Millisecond), agentC, flowOf(port), steerwire.NotHeld)
-		return hasAction(c.SetAgents(now.Add(30*time.Millisecond), []netip.AddrPort{agentA, agentB, agentC}, now.Add(time.Millisecond)), ResetCaller)
+		return hasAction(c.SetAgents(now.Add(30*time.Millisecond), AgentListing{Agents: []netip.AddrPort{agentA, agentB, agentC}, AsOf: now.Add(time.Millisecond)}), ResetCaller)
 	}
 	peerHello(ms(3000))
 	is.True(!resetAfterLookup(ms(3001), 2, 1)) // the peer still reaches agentB
@@ -189,7 +189,7 @@
 		c.Packet(ms(1001), data(1), raw)
 		answer(c, ms(1002), agentA, flowOf(1), steerwire.NotHeld)
 		answer(c, ms(1003), agentC, flowOf(1), steerwire.NotHeld)
-		is.Equal(hasAction(c.SetAgents(ms(1010), []netip.AddrPort{agentA, agentB, agentC}, ms(1004)), ResetCaller), test.reset)
+		is.Equal(hasAction(c.SetAgents(ms(1010), AgentListing{Agents: []netip.AddrPort{agentA, agentB, agentC}, AsOf: ms(1004)}), ResetCaller), test.reset)
 	}
 }
 
@@ -238,7 +238,7 @@
 		c.Tick(now.Add(queryBatchDelay))
 		answer(c, now.Add(11*time.Millisecond), agentA, flowOf(port), steerwire.NotHeld)
 		answer(c, now.Add(12*time.Millisecond), agentB, flowOf(port), steerwire.NotHeld)
-		return hasAction(c.SetAgents(now.Add(30*time.Millisecond), []netip.AddrPort{agentA, agentB, agentC}, now.Add(time.Millisecond)), ResetCaller)
+		return hasAction(c.SetAgents(now.Add(30*time.Millisecond), AgentListing{Agents: []netip.AddrPort{agentA, agentB, agentC}, AsOf: now.Add(time.Millisecond)}), ResetCaller)
 	}
 	is.True(!reset(ms(1100), 1)) // a restarting agent is away for 0.7 s
 	is.True(reset(ms(1250), 2))
@@ -293,13 +293,13 @@
 			for now := 60; now <= 140; now += queryTimeoutMillis {
 				c.Tick(ms(now))
 			}
-			is.Equal(hasAction(c.SetAgents(ms(160), []netip.AddrPort{agentA, agentB, agentC}, ms(141)), ResetCaller), test.reset)
+			is.Equal(hasAction(c.SetAgents(ms(160), AgentListing{Agents: []netip.AddrPort{agentA, agentB, agentC}, AsOf: ms(141)}), ResetCaller), test.reset)
 			if test.reset {
 				is.Equal(queryCountWithBatch(c, ms(170), c.Packet(ms(170), data(2), raw)), 2) // all but agentB
 				answer(c, ms(171), agentA, flowOf(2), steerwire.NotHeld)
 				report(c, ms(172), agentB, steerwire.Report{Incarnation: 1, Sequence: 3, State: steerwire.TargetReady})
 				is.True(!hasAction(answer(c, ms(173), agentC, flowOf(2), steerwire.NotHeld), ResetCaller))
-				is.True(!hasAction(c.SetAgents(ms(180), []netip.AddrPort{agentA, agentB, agentC}, ms(174)), ResetCaller))
+				is.True(!hasAction(c.SetAgents(ms(180), AgentListing{Agents: []netip.AddrPort{agentA, agentB, agentC}, AsOf: ms(174)}), ResetCaller))
 				is.Equal(queryCountWithBatch(c, ms(220), c.Tick(ms(220))), 1) // agentB has reported again
 			}
 		})
--- a/internal/steer/readers.go
+++ b/internal/steer/readers.go
@@ -43,7 +43,8 @@
 	reader   netip.AddrPort // the zero value if no query is outstanding
 	sentAt   time.Time
 	parts    [][]netip.AddrPort
-	received int // number of parts received
+	received int    // number of parts received
+	epoch    uint64 // of the store, in the first part
 }
 
 func (q listingQuery) pending() bool { return q.reader.IsValid() }
@@ -151,7 +152,7 @@
 			continue
 		}
 		for i, part := range parts {
-			l := steerwire.Listing{ID: a.id, Part: i, Parts: len(parts), Agents: part}
+			l := steerwire.Listing{ID: a.id, Part: i, Parts: len(parts), Agents: part, Epoch: c.store.epoch}
 			c.send(a.addr, steerwire.Message{Kind: steerwire.KindListing, Listing: l})
 		}
 	}
@@ -167,7 +168,10 @@
 	if valid && q.parts == nil {
 		q.parts = make([][]netip.AddrPort, l.Parts)
 	}
-	if !valid || len(q.parts) != l.Parts || q.parts[l.Part] != nil {
+	if valid && q.received == 0 {
+		q.epoch = l.Epoch
+	}
+	if !valid || l.Epoch != q.epoch || len(q.parts) != l.Parts || q.parts[l.Part] != nil {
 		c.count(CounterDropped, "old_listing")
 		return
 	}
@@ -175,7 +179,7 @@
 	if q.received++; q.received < l.Parts {
 		return
 	}
-	agents, asOf := slices.Concat(q.parts...), q.sentAt
+	listing := AgentListing{Agents: slices.Concat(q.parts...), Epoch: q.epoch, AsOf: q.sentAt}
 	c.listingQuery = listingQuery{}
-	c.setAgents(now, agents, asOf)
+	c.setAgents(now, listing)
 }
--- a/internal/steer/starts_test.go
+++ b/internal/steer/starts_test.go
@@ -94,7 +94,7 @@
 	for _, a := range alive {
 		answer(c, now.Add(11*time.Millisecond), a, flowOf(port), steerwire.NotHeld)
 	}
-	return hasAction(c.SetAgents(now.Add(30*time.Millisecond), listed, now.Add(time.Millisecond)), ResetCaller)
+	return hasAction(c.SetAgents(now.Add(30*time.Millisecond), AgentListing{Agents: listed, AsOf: now.Add(time.Millisecond)}), ResetCaller)
 }
 
 // Guards against resets that wait for an agent that has ended with its target: on
@@ -120,7 +120,7 @@
 		"is named by a peer": func(c *Core) {
 			c.Message(ms(5000), peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: "b2", Incarnation: 1, Agents: []netip.AddrPort{agentC}}}, segment.Segment{})
 		},
-		"is listed": func(c *Core) { c.SetAgents(ms(5000), all, ms(4900)) },
+		"is listed": func(c *Core) { c.SetAgents(ms(5000), AgentListing{Agents: all, AsOf: ms(4900)}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -174,7 +174,7 @@
 			for now := 1000; now <= 20_000; now += 100 {
 				ready(c, ms(now), uint64(now), agentA, agentB)
 				if test.listed != nil && ms(now).Sub(start)%listingInterval == 0 {
-					c.SetAgents(ms(now), test.listed, time.Time{})
+					c.SetAgents(ms(now), AgentListing{Agents: test.listed})
 				}
 				if test.returns && now == 4000 {
 					report(c, ms(now), agentC, steerwire.Report{Incarnation: 8, Sequence: 1, State: steerwire.TargetReady, DataCentre: model.DataCentre(test.dc)})
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -319,6 +319,7 @@
 	lastConfigFetch     time.Time // when FetchConfig was last issued
 	unconfirmedSince    time.Time // end of a pause after which the configuration is not confirmed yet
 	storeFailing        bool      // the last call to the store failed
+	store               storeHistory
 	listingQuery        listingQuery
 	listingAskers       []listingAsker // balancers that wait for a listing from this one
 }
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -53,7 +53,7 @@
 func newCore(agents ...netip.AddrPort) *Core {
 	c := New(start, Options{Node: "b1", Incarnation: 1, DataCentre: "dc-1", FlowTTL: time.Minute})
 	c.SetConfig(start, configOf(1, "alpha"))
-	c.SetAgents(start, agents, time.Time{})
+	c.SetAgents(start, AgentListing{Agents: agents})
 	return c
 }
 
@@ -354,7 +354,7 @@
 	is := is.New(t)
 	c := New(start, Options{Node: "b1", Incarnation: 1, DataCentre: "dc-1", FlowTTL: time.Minute, LinkBitsPerSecond: 10_000_000, FullSegment: 1200})
 	c.SetConfig(start, configOf(1, "alpha"))
-	c.SetAgents(start, []netip.AddrPort{agentA}, time.Time{})
+	c.SetAgents(start, AgentListing{Agents: []netip.AddrPort{agentA}})
 	ready(c, start, 1, agentA)
 	for port := uint16(1); port <= 2; port++ {
 		c.Packet(start, syn(port), raw)
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -123,28 +123,45 @@
 	return s.version > t.version
 }
 
-// SetAgents sets the addresses of the agents that the store lists. asOf is a time at
-// which the listing was complete, zero if the listing may be outdated.
-func (c *Core) SetAgents(now time.Time, listed []netip.AddrPort, asOf time.Time) []Action {
+// AgentListing holds the agents whose objects the store lists.
+type AgentListing struct {
+	Agents []netip.AddrPort
+	Epoch  uint64 // of the store, 0 if it is not known
+	// AsOf is a time at which the listing was complete, zero if it may be outdated.
+	AsOf time.Time
+}
+
+// SetAgents sets the addresses of the agents that the store lists.
+func (c *Core) SetAgents(now time.Time, l AgentListing) []Action {
 	c.actions = c.actions[:0]
-	c.setAgents(now, listed, asOf)
+	c.setAgents(now, l)
 	return c.actions
 }
 
-func (c *Core) setAgents(now time.Time, listed []netip.AddrPort, asOf time.Time) {
+func (c *Core) setAgents(now time.Time, l AgentListing) {
+	c.setStoreEpoch(now, l.Epoch, 0, "listing")
+	if l.Epoch != 0 && l.Epoch < c.store.epoch {
+		c.count(CounterDropped, "old_listing")
+		return
+	}
+	first := l.Epoch > c.store.listedEpoch
+	c.store.listedEpoch, c.store.listedAt = l.Epoch, now
 	for _, t := range c.targets {
 		t.listed = false
 	}
-	for _, a := range listed {
+	for _, a := range l.Agents {
 		t := c.addAgent(now, a)
 		t.listed, t.lastListed = true, now
-		if t.ended() && asOf.Sub(t.endedAt) > endedObjectTimeout {
+		if t.ended() && l.AsOf.Sub(t.endedAt) > endedObjectTimeout {
 			t.endedAt = time.Time{} // a later agent may have written the object
 		}
 	}
-	if !asOf.IsZero() {
-		c.answerListingAskers(listed, asOf)
-		c.resetProvenUnheld(now, asOf)
+	if first {
+		c.greetUnlisted(now)
+	}
+	if !l.AsOf.IsZero() {
+		c.answerListingAskers(l.Agents, l.AsOf)
+		c.resetProvenUnheld(now, l.AsOf)
 	}
 }
 
@@ -164,7 +181,9 @@
 // greet sends a hello to an agent.
 func (c *Core) greet(now time.Time, t *target) {
 	t.lastHello = now
-	c.send(t.addr, c.helloMessage(false))
+	m := c.helloMessage(now, false)
+	m.Hello.Unlisted = c.unlisted(now, t)
+	c.send(t.addr, m)
 }
 
 // greetUnreported repeats the hellos to agents that have not reported.
@@ -183,11 +202,12 @@
 	}
 }
 
-func (c *Core) helloMessage(reply bool) steerwire.Message {
+func (c *Core) helloMessage(now time.Time, reply bool) steerwire.Message {
 	m := steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: c.options.Node, Incarnation: c.options.Incarnation, Reply: reply, Decisions: c.decisions.Revision, DecisionDigest: c.decisions.Digest}}
 	if c.config != nil {
 		m.Hello.Revision, m.Hello.ConfigVersion = c.config.Revision, c.config.Version
 	}
+	m.Hello.Epoch, m.Hello.EpochAgeMillis = c.store.epoch, c.epochAgeMillis(now)
 	return m
 }
 
@@ -302,6 +322,7 @@
 		c.log(Entry{Event: "balancer", Target: from, Reason: "heard", Version: h.ConfigVersion})
 		p.config = configStamp{}
 	}
+	c.setStoreEpoch(now, h.Epoch, time.Duration(h.EpochAgeMillis)*time.Millisecond, "hello")
 	p.lastHello, p.incarnation, p.wantsAgents = now, h.Incarnation, h.WantAgents
 	if next := (configStamp{h.Revision, h.ConfigVersion}); next.newerThan(p.config) {
 		p.config = next
@@ -349,7 +370,7 @@
 // peerHelloMessage returns the hello to a balancer, with lost agents and with agents that
 // the receiver may not know.
 func (c *Core) peerHelloMessage(now time.Time, p *peer, reply bool) steerwire.Message {
-	m := c.helloMessage(reply)
+	m := c.helloMessage(now, reply)
 	m.Hello.DataCentre = c.options.DataCentre
 	m.Hello.WantAgents = now.Sub(c.started) < startupPeriod
 	m.Hello.NoStore = c.leaving || c.storeFailing
--- a/internal/steersim/faults_test.go
+++ b/internal/steersim/faults_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/passthrough"
+	"github.com/bulrushshelf/bulrushshelf/internal/steer"
 )
 
 var services = map[model.ServiceName]int{"alpha": 7, "beta": 3}
@@ -132,7 +133,7 @@
 			s.after(time.Duration(2+3*i)*time.Second, func() {
 				s.addAgentListed("alpha", false, i%2 == 0) // also agents without access to the store
 				for _, b := range s.balancers {
-					b.execute(b.core.SetAgents(s.now, s.listed(), time.Time{}))
+					b.execute(b.core.SetAgents(s.now, steer.AgentListing{Agents: s.listed(), Epoch: s.epoch}))
 				}
 				s.agents[i].target.draining = true
 			})
--- a/internal/steersim/restored_test.go
+++ b/internal/steersim/restored_test.go
@@ -1,6 +1,8 @@
 package steersim
 
 import (
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 )
@@ -36,3 +38,60 @@
 		s.checkConfigInForce()
 	}
 }
+
+// reregisterBound is the time from the return of the store within which the entry of a
+// running agent must be back.
+const reregisterBound = 2 * time.Second
+
+// restoreStore replaces the list of agents in the store by a copy of it.
+func (s *sim) restoreStore(listed []netip.AddrPort) {
+	s.epoch++
+	for _, a := range s.agents {
+		a.listed = slices.Contains(listed, a.addr)
+	}
+}
+
+// Guards against agents whose objects were written after the copy and that stay missing.
+func TestHistoryLostAgentsRegisterAgain(t *testing.T) {
+	for _, seed := range seeds {
+		s := newSim(t, seed, 9, services)
+		s.loss = 0.001
+		s.run(5 * time.Second)
+		backup := s.listed()
+		for range 3 {
+			s.addAgent("alpha", false)
+		}
+		s.generateTraffic(12*time.Second, 100, 0.3)
+		s.run(6 * time.Second)
+		s.restoreStore(backup)
+		s.run(reregisterBound)
+		if n := len(s.listed()); n != len(s.agents) {
+			s.fail("the store lists %d agents, want %d", n, len(s.agents))
+		}
+		s.restoreStore(backup) // once more
+		s.run(reregisterBound)
+		if n := len(s.listed()); n != len(s.agents) {
+			s.fail("the store lists %d agents after the second restoration, want %d", n, len(s.agents))
+		}
+		s.run(6 * time.Second)
+		if s.resets > 0 || s.failed > s.served/300 {
+			s.fail("%d flows reset, %d of %d requests failed", s.resets, s.failed, s.served+s.failed)
+		}
+	}
+}
+
+// Guards against agents that write their objects although the store lists them: the calls
+// at a restoration must grow with the agents that it lost only.
+func TestHistoryListedAgentsDoNotWrite(t *testing.T) {
+	s := newSim(t, 1, 9, services)
+	s.run(5 * time.Second)
+	backup := s.listed()
+	s.addAgent("alpha", false)
+	s.run(6 * time.Second)
+	s.registrations = 0
+	s.restoreStore(backup)
+	s.run(20 * time.Second)
+	if s.registrations != 1 {
+		s.fail("%d objects written, want 1", s.registrations)
+	}
+}
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -18,6 +18,7 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
 	"github.com/bulrushshelf/bulrushshelf/internal/steer"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
+	"github.com/bulrushshelf/bulrushshelf/internal/storeapi"
 )
 
 const (
@@ -30,6 +31,8 @@
 	callerDelay       = time.Millisecond       // one way, between a caller and the deployment
 	storeDelay        = 8 * time.Millisecond   // of a call to the store
 	storePoll         = 50 * time.Millisecond  // until a watch of the store delivers a change
+	// readerListInterval is the interval of a reader's listings of the agents.
+	readerListInterval = 2 * time.Second
 	// storeFailureTime is the time after which a process notices that the store does not
 	// answer it: the interval of listings and five attempts of a silent call.
 	storeFailureTime = 6500 * time.Millisecond
@@ -56,23 +59,25 @@
 
 // sim is a simulated deployment.
 type sim struct {
-	t         *testing.T
-	now       time.Time
-	events    queue
-	seq       int
-	rand      *rand.Rand
-	loss      float64 // fraction of the packets and messages that are lost
-	balancers []*balancer
-	agents    []*agent
-	callers   map[model.Flow]*caller
-	packets   []segment.Segment
-	config    *steer.Config
-	cut       func(a, b netip.AddrPort) bool // reports whether the link between two processes is cut
-	storeCut  func(a netip.AddrPort) bool    // reports whether a process cannot reach the store
-	listings  int                            // listings of the agents that the store served
-	watches   int                            // configurations that the store sent to balancers
-	port      uint16
-	started   time.Time
+	t             *testing.T
+	now           time.Time
+	events        queue
+	seq           int
+	rand          *rand.Rand
+	loss          float64 // fraction of the packets and messages that are lost
+	balancers     []*balancer
+	agents        []*agent
+	callers       map[model.Flow]*caller
+	packets       []segment.Segment
+	config        *steer.Config
+	epoch         uint64                         // of the store
+	cut           func(a, b netip.AddrPort) bool // reports whether the link between two processes is cut
+	storeCut      func(a netip.AddrPort) bool    // reports whether a process cannot reach the store
+	listings      int                            // listings of the agents that the store served
+	watches       int                            // configurations that the store sent to balancers
+	registrations int                            // objects that agents have written again
+	port          uint16
+	started       time.Time
 
 	served, failed, resets, late int                        // late: served after more than 150 ms
 	holders                      map[model.Flow]*target     // target that holds each open flow
@@ -89,7 +94,7 @@
 		cut:      func(netip.AddrPort, netip.AddrPort) bool { return false },
 		storeCut: func(netip.AddrPort) bool { return false },
 	}
-	s.started = s.now
+	s.started, s.epoch = s.now, storeapi.FirstEpoch
 	s.config = &steer.Config{Revision: 1, Version: 1, IdleTimeout: 15 * time.Second, Routes: map[netip.AddrPort]steer.Route{}}
 	var names []string
 	for n := range services {
@@ -209,6 +214,7 @@
 
 	lastStoreAnswer time.Time
 	lastRead        *steer.Config // last configuration read from the store
+	lastListing     time.Time     // of the agents, as a reader
 }
 
 func (s *sim) addBalancer() *balancer {
@@ -229,7 +235,7 @@
 	if !s.storeCut(b.addr) {
 		b.lastRead = s.config
 		b.execute(b.core.SetConfig(s.now, s.config))
-		b.execute(b.core.SetAgents(s.now, s.listed(), time.Time{}))
+		b.execute(b.core.SetAgents(s.now, steer.AgentListing{Agents: s.listed(), Epoch: s.epoch}))
 	}
 	b.lastStoreAnswer = s.now
 	b.tick(b.core)
@@ -245,6 +251,11 @@
 	if core.ReadsStore(s.now) {
 		if !s.storeCut(b.addr) {
 			b.lastStoreAnswer = s.now
+			b.execute(core.SetStoreEpoch(s.now, s.epoch))
+			if s.now.Sub(b.lastListing) >= readerListInterval {
+				b.lastListing = s.now
+				b.execute(core.SetAgents(s.now, steer.AgentListing{Agents: s.listed(), Epoch: s.epoch}))
+			}
 			if b.lastRead != s.config {
 				s.watches++
 				b.lastRead = s.config
@@ -310,7 +321,7 @@
 			s.listings++
 			s.after(storeDelay, func() {
 				if b.core == core {
-					b.execute(core.SetAgents(s.now, s.listed(), began))
+					b.execute(core.SetAgents(s.now, steer.AgentListing{Agents: s.listed(), AsOf: began, Epoch: s.epoch}))
 				}
 			})
 		case steer.FetchConfig:
@@ -357,7 +368,7 @@
 	if core := a.core; a.listed {
 		s.after(storeDelay, func() {
 			if a.core == core {
-				a.execute(core.Registered(s.now))
+				a.execute(core.Registered(s.now, s.epoch))
 			}
 		})
 	}
@@ -366,6 +377,18 @@
 	}
 }
 
+// register writes the agent's object again.
+func (a *agent) register(core *passthrough.Core) {
+	s := a.s
+	s.after(storeDelay, func() {
+		if a.core == core && !s.storeCut(a.addr) {
+			a.listed = true
+			s.registrations++
+			a.execute(core.Registered(s.now, s.epoch))
+		}
+	})
+}
+
 func (a *agent) kill() { a.core = nil }
 
 func (a *agent) tick(core *passthrough.Core) {
@@ -394,6 +417,8 @@
 				m.Refuse.Packet = append([]byte(nil), m.Refuse.Packet...)
 			}
 			s.send(a.addr, x.To, m)
+		case passthrough.Register:
+			a.register(a.core)
 		case passthrough.ClearBounced:
 			s.packets[binary.BigEndian.Uint32(x.Packet)].Flags &^= segment.Bounced
 		case passthrough.Log:
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -202,6 +202,12 @@
 	NoStore bool `cbor:"11,keyasint,omitzero"`
 	// ConfigVersion is the operator's version of the configuration in effect.
 	ConfigVersion int64 `cbor:"12,keyasint,omitzero"`
+	// Epoch is the highest known epoch of the store, 0 if it is not known.
+	Epoch uint64 `cbor:"13,keyasint,omitzero"`
+	// EpochAgeMillis is how long the sender has known the epoch, limited to an hour.
+	EpochAgeMillis int64 `cbor:"14,keyasint,omitzero"`
+	// Unlisted is set if the store did not list the receiving agent lately. Sent to agents.
+	Unlisted bool `cbor:"15,keyasint,omitzero"`
 }
 
 // ListingQuery asks a store reader for a listing that starts after the receipt of the query.
@@ -215,6 +221,7 @@
 	Part   int              `cbor:"2,keyasint"` // from 0
 	Parts  int              `cbor:"3,keyasint"` // number of parts, at least 1
 	Agents []netip.AddrPort `cbor:"4,keyasint,omitempty"`
+	Epoch  uint64           `cbor:"5,keyasint,omitzero"` // of the store
 }
 
 // TargetState is the state of a target as reported by its agent.
