passthrough: an agent that hears no balancer for a second reports to the seeds

Callers could lose a target for good: when the store had lost an agent's object and all balancers restarted before the agent had written it again, no balancer knew the agent, and the agent waited for a hello. Cause: an agent reports to the seeds until its first hello only. Change: also after a second without a hello.

--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -24,7 +24,7 @@
 	// shutdownDelay is how long a stopping agent continues to forward packets if its target
 	// runs. Its last report reaches all balancers within a few milliseconds.
 	shutdownDelay = 250 * time.Millisecond
-	// advertiseInterval is the interval of reports to the seeds until a balancer's hello
+	// advertiseInterval is the interval of reports to the seeds while no balancer's hello
 	// is received.
 	advertiseInterval = 200 * time.Millisecond
 	// registerRetryInterval is the delay after a failed write of the agent's object.
@@ -53,16 +53,15 @@
 
 // Agent is a running agent.
 type Agent struct {
-	opts          AgentOptions
-	core          *passthrough.Core
-	loop          *loop
-	logWriter     *logWriter
-	peers         *socket
-	local         *socket
-	sender        datagramSender
-	targetExited  chan struct{} // closed when the target has announced its exit
-	reregister    chan struct{} // signals that the agent's object may have been removed
-	helloReceived atomic.Bool   // a balancer's hello was received
+	opts         AgentOptions
+	core         *passthrough.Core
+	loop         *loop
+	logWriter    *logWriter
+	peers        *socket
+	local        *socket
+	sender       datagramSender
+	targetExited chan struct{} // closed when the target has announced its exit
+	reregister   chan struct{} // signals that the agent's object may have been removed
 	// object is the position of the agent's object in the store, nil before the first write.
 	object atomic.Pointer[storeclient.Position]
 }
@@ -255,11 +254,14 @@
 	return nil
 }
 
-// advertise sends reports to the seeds until a balancer's hello is received, so that
-// balancers find the agent even if its object cannot be written to the store.
+// advertise sends reports to the seeds while no balancer's hello is received, so that
+// balancers find the agent even if its object is not in the store.
 func (a *Agent) advertise(ctx context.Context) error {
-	for ctx.Err() == nil && !a.helloReceived.Load() {
+	for ctx.Err() == nil {
 		_ = a.loop.call(ctx, func(now time.Time) { // fails only at shutdown
+			if !a.core.AdvertisesToSeeds(now) {
+				return
+			}
 			r := a.core.Report(now)
 			for _, s := range a.opts.Seeds {
 				a.sender.sendMessage(a.peers, s, steerwire.Message{Kind: steerwire.KindReport, Report: r})
@@ -303,9 +305,6 @@
 		a.opts.Metrics.Count(CounterMalformed, "message", 1)
 		return
 	}
-	if m.Kind == steerwire.KindHello {
-		a.helloReceived.Store(true)
-	}
 	var s segment.Segment
 	if m.Kind == steerwire.KindForward {
 		if s, err = a.opts.Codec.Parse(m.Forward.Packet, false); err != nil {
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -52,6 +52,10 @@
 	// listedDelay is the time after a registration in which a listing of the store may still
 	// lack the agent: the interval of listings and the age of one that may be outdated.
 	listedDelay = 5 * time.Second
+	// advertiseAfter is the time without a hello of any balancer after which the agent sends
+	// reports to the seeds. Balancers that have all restarted may not find it otherwise. It
+	// is longer than the interval of hellos to 100 agents.
+	advertiseAfter = time.Second
 	// idleSweepInterval is the interval of the search for idle flows.
 	idleSweepInterval = time.Second
 	// closedFlowTTL is how long a flow is kept after a reset or a FIN in both directions,
--- a/internal/passthrough/report.go
+++ b/internal/passthrough/report.go
@@ -46,6 +46,12 @@
 	c.actions = append(c.actions, Action{Kind: Register})
 }
 
+// AdvertisesToSeeds reports whether the agent sends reports to the seeds because it has
+// not received a hello of a balancer yet, or for advertiseAfter.
+func (c *Core) AdvertisesToSeeds(now time.Time) bool {
+	return !c.ended && (c.lastHello.IsZero() || now.Sub(c.lastHello) >= advertiseAfter)
+}
+
 func (c *Core) sortedBalancers() []netip.AddrPort {
 	out := make([]netip.AddrPort, 0, len(c.balancers))
 	for a := range c.balancers {
--- a/internal/passthrough/report_test.go
+++ b/internal/passthrough/report_test.go
@@ -63,3 +63,18 @@
 	}
 	is.Equal(len(known), balancers)
 }
+
+// Guards against an agent that balancers which have all restarted never find, because the
+// store has lost its object.
+func TestAgentAdvertisesWithoutBalancers(t *testing.T) {
+	is := is.New(t)
+	c := New(start, Options{Node: "a", Incarnation: 1, Service: "alpha"})
+	is.True(c.AdvertisesToSeeds(start))
+	c.Message(ms(100), balancer, steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: "b"}}, segment.Segment{})
+	is.True(!c.AdvertisesToSeeds(ms(1000)))
+	is.True(c.AdvertisesToSeeds(ms(1100)))
+	c.Message(ms(1200), balancer, steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: "b"}}, segment.Segment{})
+	is.True(!c.AdvertisesToSeeds(ms(1300)))
+	c.End(ms(3000))
+	is.True(!c.AdvertisesToSeeds(ms(3000))) // its last report says that it ends
+}
--- a/internal/steersim/restored_test.go
+++ b/internal/steersim/restored_test.go
@@ -95,3 +95,26 @@
 		s.fail("%d objects written, want 1", s.registrations)
 	}
 }
+
+// Guards against agents that are never found again when the store loses them and all
+// balancers restart before they have registered again.
+func TestHistoryLostAgentsAreFoundByRestartedBalancers(t *testing.T) {
+	for _, seed := range seeds {
+		s := newSim(t, seed, 6, services)
+		s.run(5 * time.Second)
+		backup := s.listed()
+		for range 3 {
+			s.addAgent("alpha", false)
+		}
+		s.run(10 * time.Second)
+		s.restoreStore(backup)
+		for _, b := range s.balancers {
+			b.kill()
+			s.after(450*time.Millisecond+time.Duration(s.rand.IntN(300))*time.Millisecond, b.start)
+		}
+		s.run(4 * time.Second)
+		if n := len(s.listed()); n != len(s.agents) {
+			s.fail("the store lists %d agents, want %d", n, len(s.agents))
+		}
+	}
+}
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -33,6 +33,7 @@
 	storePoll         = 50 * time.Millisecond  // until a watch of the store delivers a change
 	// readerListInterval is the interval of a reader's listings of the agents.
 	readerListInterval = 2 * time.Second
+	advertiseInterval  = 200 * time.Millisecond // of an agent's reports to the seeds
 	// storeFailureTime is the time after which a process notices that the store does not
 	// answer it: the interval of listings and five attempts of a silent call.
 	storeFailureTime = 6500 * time.Millisecond
@@ -372,9 +373,19 @@
 			}
 		})
 	}
-	if len(s.balancers) > 0 {
-		s.send(a.addr, s.balancers[0].addr, steerwire.Message{Kind: steerwire.KindReport, Report: a.core.Report(s.now)})
+	a.advertise(a.core)
+}
+
+// advertise sends reports to the seed while the agent hears no balancer.
+func (a *agent) advertise(core *passthrough.Core) {
+	s := a.s
+	if a.core != core {
+		return
+	}
+	if core.AdvertisesToSeeds(s.now) && len(s.balancers) > 0 {
+		s.send(a.addr, s.balancers[0].addr, steerwire.Message{Kind: steerwire.KindReport, Report: core.Report(s.now)})
 	}
+	s.after(advertiseInterval, func() { a.advertise(core) })
 }
 
 // register writes the agent's object again.
