steer: a listing of a store that was just restored proves nothing about unknown flows

Callers' open flows could be reset: balancers that restarted after the store had lost agents listed the rest, and took a listing later than a flow's first packet as proof that no target holds the flow. Cause: agents register before they accept flows, but the store may lose what it acknowledged when it is restored from a copy. Change: listings prove nothing for 3 s from the moment at which any balancer knew the new epoch; hellos carry that age, so that a balancer that starts later does not wait. A store in its first epoch has never been restored, so nothing changes for it. Resets proved by the agents' own answers go on. Result: TestHistoryNoOpenFlowIsResetInARestoredStore fails on the code before (a flow open at a running target is reset) and passes.

--- a/internal/steer/epochs.go
+++ b/internal/steer/epochs.go
@@ -12,6 +12,9 @@
 // each other's hellos. The readers list the agents at once and tell those that are
 // missing, which write their objects again.
 const (
+	// restoredListingDelay is the time from a restoration of the store until listings are
+	// complete again: until a reader notices it and until the agents have written.
+	restoredListingDelay = 3 * time.Second
 	// unlistedHelloPeriod is how long after a listing hellos tell agents that they are not
 	// in it. It spans two listings of a reader.
 	unlistedHelloPeriod = 5 * time.Second
@@ -66,6 +69,12 @@
 	return min(now.Sub(c.store.epochSince), maxEpochAge).Milliseconds()
 }
 
+// listingsComplete reports whether a listing of the store names all agents that have
+// registered.
+func (c *Core) listingsComplete(now time.Time) bool {
+	return c.store.epochSince.IsZero() || now.Sub(c.store.epochSince) >= restoredListingDelay
+}
+
 // unlisted reports whether a recent listing of the current epoch lacks an agent that
 // reports. The agent itself knows whether it has registered since.
 func (c *Core) unlisted(now time.Time, t *target) bool {
--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -222,8 +222,13 @@
 
 // resetProvenUnheld resets the flows that no agent holds according to a listing that was
 // complete at asOf. Agents register in the store before they accept flows, so a listing
-// later than the first packet of a lookup names all agents that may hold the flow.
+// later than the first packet of a lookup names all agents that may hold the flow. A store
+// that has just been restored may have lost some.
 func (c *Core) resetProvenUnheld(now, asOf time.Time) {
+	if !c.listingsComplete(now) {
+		c.count(CounterDropped, "restored_listing")
+		return
+	}
 	var proven, incomplete []model.Flow
 	tooRecent := false
 	for k, l := range c.lookups {
--- a/internal/steersim/restored_test.go
+++ b/internal/steersim/restored_test.go
@@ -118,3 +118,25 @@
 		}
 	}
 }
+
+// Guards against resets of open flows when the store loses agents and all balancers restart
+// before these have registered again.
+func TestHistoryNoOpenFlowIsResetInARestoredStore(t *testing.T) {
+	for _, seed := range seeds {
+		s := newSim(t, seed, 6, services)
+		s.run(5 * time.Second)
+		backup := s.listed()
+		for range 3 {
+			s.addAgent("alpha", false)
+		}
+		s.run(6 * time.Second)
+		s.generateTraffic(12*time.Second, 100, 0.5)
+		s.run(4 * time.Second)
+		s.restoreStore(backup)
+		for _, b := range s.balancers {
+			b.kill()
+			s.after(450*time.Millisecond+time.Duration(s.rand.IntN(300))*time.Millisecond, b.start)
+		}
+		s.run(10 * time.Second) // reset checks that no running target holds the flow
+	}
+}
