balancers: an agent's object is removed only by its version in the store's current epoch

A running target could lose its entry in the store: removals carry the version of the listing that they were decided on, and a store that is restored from a copy assigns that version again, possibly to the object that a later agent wrote. Change: the core decides removals only by a listing of the current epoch, and the runtime's order names the epoch, so that one that waits while the store is restored is refused.

--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -432,7 +432,7 @@
 			fresh = true
 		case r := <-b.removeRequests:
 			fresh = false
-			_, err := b.opts.Store.Delete(ctx, agentPath(r.agent), r.at.Revision)
+			_, err := b.opts.Store.DeleteAt(ctx, agentPath(r.agent), r.at)
 			if err != nil {
 				b.opts.Metrics.Count(CounterRegister, "remove_failed", 1) // the core requests the removal again later
 			}
--- a/internal/passnode/removal_test.go
+++ b/internal/passnode/removal_test.go
@@ -97,3 +97,46 @@
 	b.execute(now, []steer.Action{{Kind: steer.RemoveAgent, To: agent, Incarnation: 2}})
 	is.Equal(<-b.removeRequests, removal{agent, storeclient.Position{Epoch: 1, Revision: 9}})
 }
+
+// Guards against the removal of a running agent's object by a version that the store has
+// assigned again after it was restored from a copy.
+func TestFaultStoreIsRestoredBeforeARemoval(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := store.New(store.Options{})
+	server := httptest.NewServer(s)
+	t.Cleanup(func() { go server.Close() })
+	m, err := telemetry.NewMetrics("test")
+	is.NoErr(err)
+	client, err := storeclient.New(storeclient.Options{URL: server.URL, Counter: m})
+	is.NoErr(err)
+	b, err := NewBalancer(BalancerOptions{
+		FabricAddr: netip.MustParseAddrPort("127.0.0.1:0"), PeerAddr: netip.MustParseAddrPort("127.0.0.1:0"),
+		Store: client, Metrics: m, Logger: log.New(io.Discard),
+	})
+	is.NoErr(err)
+	go func() { _ = b.loop.run(ctx) }()
+
+	agent := netip.MustParseAddrPort("10.1.0.1:7000")
+	backup := s.Backup()
+	lost, err := client.Create(ctx, agentPath(agent), []byte(`{"peer":"10.1.0.1:7000","incarnation":1}`))
+	is.NoErr(err)
+	s.Restore(backup)
+	again, err := client.Create(ctx, agentPath(agent), []byte(`{"peer":"10.1.0.1:7000","incarnation":2}`))
+	is.NoErr(err)
+	is.Equal(again.Version, lost.Version)
+
+	b.removeRequests <- removal{agent, storeclient.Position{Epoch: lost.Epoch, Revision: lost.Version}}
+	go func() { _ = b.listAgents(ctx) }()
+	failed := func() uint64 {
+		return m.Totals()[telemetry.CounterKey{Name: CounterRegister, Reason: "remove_failed"}]
+	}
+	for deadline := time.Now().Add(10 * time.Second); failed() == 0; time.Sleep(5 * time.Millisecond) {
+		if _, err := client.Get(ctx, agentPath(agent)); err != nil || time.Now().After(deadline) {
+			t.Fatal("the object of the second incarnation was removed, or the removal was not carried out", err)
+		}
+	}
+	_, err = client.Get(ctx, agentPath(agent))
+	is.NoErr(err)
+}
--- a/internal/steer/ticks.go
+++ b/internal/steer/ticks.go
@@ -65,8 +65,10 @@
 			c.rebuildServiceIndex()
 		}
 	}
-	c.removeLostAgentObjects(now)
-	c.removeEndedAgentObjects(now)
+	if c.store.listedEpoch == c.store.epoch {
+		c.removeLostAgentObjects(now)
+		c.removeEndedAgentObjects(now)
+	}
 	for _, a := range sortedKeys(c.peers) {
 		if p := c.peers[a]; !p.seed && now.Sub(p.knownSince) > entryExpiry && now.Sub(p.lastHello) > entryExpiry {
 			delete(c.peers, a)
