balancers: decision files survive a store that is restored from a copy

Callers could reach a drained target again, or an address could return to a former service: decision files written in the last seconds before a copy were gone from the store, removed ones were back, and balancers ordered listings by a revision that the store assigns again, so that they either followed the loss or ignored later changes. Change: listings of decision files are ordered by epoch and revision. A reader that sees a new epoch compares the listing with the files in effect (config.RestoreWrites), writes what the store lost, and only then follows the store; its files stay in effect meanwhile. It waits until the hellos of all others have arrived, and does not write if one of them has later files, so that a balancer that was paused or cut off brings nothing back. Files that a balancer read without knowing those from before are not passed on for 30 s, and one that starts meanwhile waits 0.5 s for a peer's. Hellos carry the epoch. decisions_test raised the revision of a configuration only, which no longer replaces one; it raises the version too.

--- a/internal/passnode/decisions.go
+++ b/internal/passnode/decisions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/config"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/steer"
+	"github.com/bulrushshelf/bulrushshelf/internal/storeclient"
 )
 
 const (
@@ -20,6 +22,13 @@
 	// firstDecisionsTimeout is how long the first configuration waits for the first
 	// listing, which is requested at the same time. The store answers in 5 ms.
 	firstDecisionsTimeout = 100 * time.Millisecond
+	// restoreRetryInterval is the interval of attempts to write files that a restored store
+	// has lost.
+	restoreRetryInterval = 500 * time.Millisecond
+	// peerDecisionsTimeout is how long a balancer that starts shortly after the store was
+	// restored waits for the decision files of a peer: a hello, its reply and the transfer.
+	peerDecisionsTimeout      = 500 * time.Millisecond
+	peerDecisionsPollInterval = 20 * time.Millisecond
 	// maxDecisionFindings is the maximum number of log lines about refused files per change.
 	maxDecisionFindings = 20
 )
@@ -30,8 +39,12 @@
 
 // sharedDecisions holds the decision files that balancers exchange.
 type sharedDecisions struct {
-	Revision uint64            `json:"revision"`
-	Files    map[string][]byte `json:"files,omitempty"`
+	Epoch     uint64            `json:"epoch,omitempty"` // of the store at which they were read
+	Revision  uint64            `json:"revision"`
+	Files     map[string][]byte `json:"files,omitempty"`
+	Versions  map[string]uint64 `json:"versions,omitempty"`  // of the files' objects
+	Removed   map[string]uint64 `json:"removed,omitempty"`   // last known versions of removed files
+	Confirmed bool              `json:"confirmed,omitempty"` // see steer.Decisions
 }
 
 // digest returns a hash of the files, 0 for none.
@@ -43,21 +56,48 @@
 	return h
 }
 
+func (d *sharedDecisions) folder() config.Folder {
+	f := config.Folder{Revision: d.Revision, Files: make(map[string]config.StoredFile, len(d.Files)), Removed: d.Removed}
+	for name, content := range d.Files {
+		f.Files[name] = config.StoredFile{Version: d.Versions[name], Content: content}
+	}
+	return f
+}
+
+// folderOf returns the decision files of a listing.
+func folderOf(l storeclient.Listing) config.Folder {
+	f := config.Folder{Revision: l.Position.Revision, Files: make(map[string]config.StoredFile, len(l.Objects))}
+	for _, o := range l.Objects {
+		f.Files[strings.TrimPrefix(o.Path, config.StorePrefix)] = config.StoredFile{Version: o.Version, Content: o.Content}
+	}
+	return f
+}
+
 // watchDecisions lists the decision files in the store at the start, then repeatedly
 // while the balancer is a reader, and applies changes.
 func (b *Balancer) watchDecisions(ctx context.Context) error {
 	list, first := b.opts.Store.List, true
 	for ctx.Err() == nil {
+		_, epochChanged := b.opts.Store.Epoch()
 		l, err := list(ctx, config.StorePrefix)
-		if err != nil {
-			b.opts.Metrics.Count(CounterDecisions, "list_failed", 1)
-		} else {
-			files := make(map[string][]byte, len(l.Objects))
-			for _, o := range l.Objects {
-				files[strings.TrimPrefix(o.Path, config.StorePrefix)] = o.Content
+		if err == nil {
+			if first {
+				b.awaitPeerDecisions(ctx)
 			}
-			b.applyDecisions(ctx, sharedDecisions{Revision: l.Position.Revision, Files: files}, "store")
+			l, err = b.restoreDecisions(ctx, l)
+		}
+		pause := decisionListInterval
+		switch {
+		case err == nil:
+			b.applyListedDecisions(ctx, l)
 			list = b.opts.Store.ListStale
+		case errors.Is(err, errRestoreLater):
+			pause = restoreRetryInterval
+		default:
+			b.opts.Metrics.Count(CounterDecisions, "list_failed", 1)
+			if known := b.decisions.Load(); known != nil && l.Position.Epoch > known.Epoch {
+				pause = restoreRetryInterval
+			}
 		}
 		if first {
 			close(b.decisionsListed)
@@ -65,7 +105,8 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(decisionListInterval):
+		case <-epochChanged:
+		case <-time.After(pause):
 		}
 		_, stop := b.reader.whileReader(ctx)
 		stop()
@@ -73,23 +114,111 @@
 	return nil
 }
 
+// awaitPeerDecisions waits until the core has decision files of a peer, if it needs them
+// to find out what a restored store has lost.
+func (b *Balancer) awaitPeerDecisions(ctx context.Context) {
+	for deadline := time.Now().Add(peerDecisionsTimeout); time.Now().Before(deadline); {
+		awaits := false
+		_ = b.loop.call(ctx, func(now time.Time) { awaits = b.core.AwaitsPeerDecisions(now) }) // fails only at shutdown
+		if !awaits {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(peerDecisionsPollInterval):
+		}
+	}
+}
+
+// errRestoreLater is returned while another balancer may have later decision files.
+var errRestoreLater = errors.New("decision files of other balancers are awaited")
+
+// restoreDecisions writes the decision files that the store has lost since the balancer
+// listed them, if a listing shows that it was restored, and lists again. It fails while
+// that is not possible; the files from before stay in effect until then.
+func (b *Balancer) restoreDecisions(ctx context.Context, l storeclient.Listing) (storeclient.Listing, error) {
+	known := b.decisions.Load()
+	if known == nil || known.Epoch == 0 || l.Position.Epoch <= known.Epoch {
+		return l, nil
+	}
+	may := false
+	_ = b.loop.call(ctx, func(now time.Time) { may = b.core.MayRestoreDecisions(now) }) // fails only at shutdown
+	if !may {
+		return l, errRestoreLater
+	}
+	fresh, err := b.opts.Store.List(ctx, config.StorePrefix)
+	if err != nil {
+		return l, err
+	}
+	writes := config.RestoreWrites(known.folder(), folderOf(fresh))
+	if len(writes) == 0 {
+		return fresh, nil
+	}
+	for _, w := range writes {
+		err := b.writeDecision(ctx, w)
+		b.logViaLoop(ctx, "decision_restored", "file", w.Name, "removed", w.Remove, "epoch", fresh.Position.Epoch, "known_epoch", known.Epoch, "known_revision", known.Revision, "err", errText(err))
+		switch storeclient.KindOf(err) {
+		case 0, storeclient.Conflict, storeclient.NotFound: // another balancer or an operator was first
+		default:
+			return fresh, err
+		}
+	}
+	return b.opts.Store.List(ctx, config.StorePrefix)
+}
+
+func (b *Balancer) writeDecision(ctx context.Context, w config.FileWrite) error {
+	var err error
+	path := config.StorePrefix + w.Name
+	switch {
+	case w.Remove:
+		_, err = b.opts.Store.Delete(ctx, path, w.Version)
+	case w.Version > 0:
+		_, err = b.opts.Store.Update(ctx, path, w.Version, w.Content)
+	default:
+		_, err = b.opts.Store.Create(ctx, path, w.Content)
+	}
+	b.opts.Metrics.Count(CounterDecisions, "restored", 1)
+	return err
+}
+
+// applyListedDecisions puts the decision files of a listing into effect.
+func (b *Balancer) applyListedDecisions(ctx context.Context, l storeclient.Listing) {
+	f := folderOf(l)
+	next := sharedDecisions{Epoch: l.Position.Epoch, Revision: f.Revision, Files: f.Contents(), Versions: make(map[string]uint64, len(f.Files))}
+	for name, file := range f.Files {
+		next.Versions[name] = file.Version
+	}
+	if known := b.decisions.Load(); known != nil {
+		next.Removed = f.Following(known.folder()).Removed
+		next.Confirmed = known.Confirmed || known.Epoch < next.Epoch && known.Epoch != 0
+	}
+	b.applyDecisions(ctx, next, "store")
+}
+
 // applyDecisions puts decision files into effect if they are newer than the current
 // ones, and logs and counts a change of their content.
 func (b *Balancer) applyDecisions(ctx context.Context, next sharedDecisions, source string) {
 	s, findings := config.Merge(next.Files)
-	d := steer.Decisions{Revision: next.Revision, Digest: next.digest(), Files: s}
+	d := steer.Decisions{Epoch: next.Epoch, Revision: next.Revision, Digest: next.digest(), Files: s, Confirmed: next.Confirmed}
 	_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
 		old := b.core.Decisions()
-		b.execute(now, b.core.SetDecisions(now, d))
-		if d.Revision <= old.Revision {
+		if source == "store" {
+			b.execute(now, b.core.SetDecisions(now, d))
+		} else {
+			b.execute(now, b.core.SetPeerDecisions(now, d))
+		}
+		current := b.core.Decisions()
+		if current.Epoch == old.Epoch && current.Revision == old.Revision {
 			return
 		}
+		next.Epoch = current.Epoch
 		b.decisions.Store(&next)
 		if d.Digest == old.Digest {
 			return
 		}
 		b.opts.Metrics.Count(CounterDecisions, source, 1)
-		b.logWriter.enqueue(now, "decisions_in_effect", "source", source, "revision", next.Revision, "files", len(next.Files), "findings", len(findings))
+		b.logWriter.enqueue(now, "decisions_in_effect", "source", source, "epoch", next.Epoch, "revision", next.Revision, "files", len(next.Files), "findings", len(findings))
 		for _, f := range findings[:min(len(findings), maxDecisionFindings)] {
 			b.logWriter.enqueue(now, "decision_refused", "finding", f.String(), "revision", next.Revision)
 		}
--- a/internal/steer/decisions.go
+++ b/internal/steer/decisions.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"time"
@@ -13,10 +14,19 @@
 // configuration: a service that claims an address gets the new flows of that address,
 // and drains and weights of targets and data centres apply to the placement of flows.
 type Decisions struct {
-	// Revision is the store revision at which the files were read.
+	// Epoch and Revision are the position in the store at which the files were read.
+	Epoch    uint64
 	Revision uint64
 	Digest   uint64 // hash of the files, 0 for none
 	Files    *config.Snapshot
+	// Confirmed is set if the files include those that a restoration of the store to Epoch
+	// had lost. Other balancers may take them in place of theirs.
+	Confirmed bool
+}
+
+// newerThan orders decisions by the position at which they were read.
+func (d Decisions) newerThan(e Decisions) bool {
+	return cmp.Or(cmp.Compare(d.Epoch, e.Epoch), cmp.Compare(d.Revision, e.Revision)) > 0
 }
 
 // Decisions returns the decision files in effect.
@@ -25,11 +35,11 @@
 // SetDecisions puts decision files into effect if they are newer than the current ones.
 func (c *Core) SetDecisions(now time.Time, d Decisions) []Action {
 	c.actions = c.actions[:0]
-	if d.Revision <= c.decisions.Revision {
+	if !d.newerThan(c.decisions) {
 		return nil
 	}
 	if d.Digest == c.decisions.Digest {
-		c.decisions.Revision = d.Revision
+		c.decisions.Epoch, c.decisions.Revision, c.decisions.Confirmed = d.Epoch, d.Revision, d.Confirmed
 		if c.base != nil {
 			c.replayPreConfig(now) // new flows may have waited for the files
 		}
@@ -45,6 +55,53 @@
 	return c.actions
 }
 
+// SetPeerDecisions does the same with files that were fetched from a peer, unless the peer
+// has read them in a restored store that may have lost some of those in effect here.
+func (c *Core) SetPeerDecisions(now time.Time, d Decisions) []Action {
+	d.Epoch = cmp.Or(d.Epoch, c.decisions.Epoch) // a peer of an earlier release sends the revision only
+	if d.Epoch > c.decisions.Epoch && c.decisions.Revision > 0 && !d.Confirmed && !c.decisionsSettled(now) {
+		c.actions = c.actions[:0]
+		c.log(Entry{Event: "decisions_ignored", Reason: "unconfirmed", Detail: int(d.Epoch)})
+		return c.actions
+	}
+	return c.SetDecisions(now, d)
+}
+
+// decisionsConfirmed reports whether the files in effect include those that the last
+// restoration of the store had lost: they are from before it, or were compared with those.
+func (c *Core) decisionsConfirmed(now time.Time) bool {
+	known := c.decisions.Revision > 0
+	return known && (c.decisions.Confirmed || c.decisions.Epoch < c.store.epoch) || c.decisionsSettled(now)
+}
+
+// decisionsSettled reports whether the last restoration of the store was so long ago that
+// the files in it count as complete.
+func (c *Core) decisionsSettled(now time.Time) bool {
+	return c.store.epochSince.IsZero() || now.Sub(c.store.epochSince) >= restoredDecisionsDelay
+}
+
+// MayRestoreDecisions reports whether the balancer may take its decision files for the
+// last ones from before the store was restored, and write those that it lost: no other
+// balancer has later ones.
+func (c *Core) MayRestoreDecisions(now time.Time) bool {
+	if now.Sub(c.store.learnedAt) < restoreDecisionsAfter {
+		return false
+	}
+	for _, p := range c.peers {
+		if now.Sub(p.lastHello) < peerTimeout && p.hasNewerDecisions(c.decisions) {
+			return false
+		}
+	}
+	return true
+}
+
+// AwaitsPeerDecisions reports whether a balancer that has just started should get the
+// decision files from a peer first, because the store was restored shortly before and may
+// have lost some.
+func (c *Core) AwaitsPeerDecisions(now time.Time) bool {
+	return c.decisions.Revision == 0 && !c.decisionsConfirmed(now)
+}
+
 // decisionsMissing reports whether another balancer has decision files and this one,
 // which has just started, has not listed them yet. They may drain a target or claim an
 // address, so new flows wait until they arrive from the store or that balancer.
--- a/internal/steer/decisions_test.go
+++ b/internal/steer/decisions_test.go
@@ -71,6 +71,7 @@
 func nextConfig(c *Core) *Config {
 	next := *c.base
 	next.Revision++
+	next.Version++
 	return &next
 }
 
--- a/internal/steer/epochs.go
+++ b/internal/steer/epochs.go
@@ -15,6 +15,13 @@
 	// restoredListingDelay is the time from a restoration of the store until listings are
 	// complete again: until a reader notices it and until the agents have written.
 	restoredListingDelay = 3 * time.Second
+	// restoredDecisionsDelay is the time from a restoration of the store until decision files
+	// that are read from it need no confirmation: the readers have written lost files again.
+	restoredDecisionsDelay = 30 * time.Second
+	// restoreDecisionsAfter is the time from the first knowledge of a restoration after which
+	// a balancer writes lost decision files again: until hellos of all others have arrived, so
+	// that one that was paused or cut off does not write files that were removed meanwhile.
+	restoreDecisionsAfter = peerHelloInterval + 200*time.Millisecond
 	// unlistedHelloPeriod is how long after a listing hellos tell agents that they are not
 	// in it. It spans two listings of a reader.
 	unlistedHelloPeriod = 5 * time.Second
@@ -26,6 +33,7 @@
 type storeHistory struct {
 	epoch       uint64    // highest epoch of the store, 0 if it is not known
 	epochSince  time.Time // when any balancer first knew it; zero if the store was never restored
+	learnedAt   time.Time // when this balancer first knew it
 	listedEpoch uint64    // of the last listing of the agents
 	listedAt    time.Time // when it was received
 }
@@ -54,7 +62,7 @@
 			event = "store_epoch" // it may have been restored before the start of this process
 		}
 		c.log(Entry{Event: event, Reason: source, Detail: int(epoch), Age: known})
-		c.store.epoch, c.store.epochSince, c.advertiseSoon = epoch, since, true
+		c.store.epoch, c.store.epochSince, c.store.learnedAt, c.advertiseSoon = epoch, since, now, true
 		if c.ReadsStore(now) {
 			c.actions = append(c.actions, Action{Kind: ListAgents})
 		}
--- a/internal/steer/epochs_test.go
+++ b/internal/steer/epochs_test.go
@@ -57,3 +57,53 @@
 	late.Message(ms(12_011), peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: hello}, segment.Segment{})
 	is.True(late.listingsComplete(ms(12_011)))
 }
+
+// Guards against decision files that a balancer has read in a restored store, which lost
+// some, and that replace those of balancers that knew the lost ones.
+func TestUnconfirmedDecisionsAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	drain := map[string]string{"50-b.yaml": "target: b\ndrain: true\n"}
+	at := func(epoch, revision uint64, files map[string]string, confirmed bool) Decisions {
+		d := decisions(t, revision, files)
+		d.Epoch, d.Confirmed = epoch, confirmed
+		return d
+	}
+	c := newCore(agentA)
+	c.SetStoreEpoch(start, 1)
+	c.SetDecisions(start, at(1, 40, drain, false))
+	c.SetStoreEpoch(ms(100), 2)
+	is.Equal(c.helloMessage(ms(101), false).Hello.Decisions, uint64(40)) // from before the restoration
+	is.True(logged(c.SetPeerDecisions(ms(102), at(2, 25, nil, false)), "decisions_ignored"))
+	is.Equal(c.Decisions().Revision, uint64(40))
+	c.SetPeerDecisions(ms(103), at(2, 26, drain, true)) // of a lower revision in the later epoch
+	is.Equal(c.Decisions().Revision, uint64(26))
+	is.Equal(c.Decisions().Epoch, uint64(2))
+
+	late := New(ms(200), Options{Node: "b3", FlowTTL: time.Minute})
+	is.True(!late.AwaitsPeerDecisions(ms(200)))
+	late.SetStoreEpoch(ms(210), 2)
+	is.True(late.AwaitsPeerDecisions(ms(210)))
+	late.SetDecisions(ms(220), at(2, 25, nil, false))
+	is.Equal(late.helloMessage(ms(221), false).Hello.Decisions, uint64(0))
+	hello := steerwire.Hello{Node: "b2", Incarnation: 1, Epoch: 2, DecisionsEpoch: 2, Decisions: 26, DecisionDigest: 9}
+	is.True(hasAction(late.Message(ms(500), peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: hello}, segment.Segment{}), FetchConfig))
+	is.Equal(late.helloMessage(ms(30_210), false).Hello.Decisions, uint64(25)) // nobody had others
+}
+
+// Guards against decision files that were removed and are written again by a balancer that
+// was paused or cut off when that happened.
+func TestOutdatedDecisionsAreNotRestored(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA)
+	c.SetStoreEpoch(start, 1)
+	d := decisions(t, 40, map[string]string{"50-b.yaml": "target: b\ndrain: true\n"})
+	d.Epoch = 1
+	c.SetDecisions(start, d)
+	c.SetStoreEpoch(ms(60_000), 2)
+	is.True(!c.MayRestoreDecisions(ms(60_001)))
+	is.True(c.MayRestoreDecisions(ms(61_200))) // alone
+	hello := steerwire.Hello{Node: "b2", Incarnation: 1, Epoch: 2, DecisionsEpoch: 1, Decisions: 45}
+	c.Message(ms(60_900), peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: hello}, segment.Segment{})
+	is.True(!c.MayRestoreDecisions(ms(61_200)))
+	is.True(c.MayRestoreDecisions(ms(66_000))) // the other balancer is gone
+}
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -110,6 +111,11 @@
 	lost         []netip.AddrPort // agents that it reports as lost
 }
 
+// hasNewerDecisions reports whether a balancer has other and later decision files than d.
+func (p *peer) hasNewerDecisions(d Decisions) bool {
+	return p.decisions.newerThan(d) && p.decisions.Digest != d.Digest
+}
+
 // configStamp identifies the configuration that a balancer has in effect.
 type configStamp struct {
 	revision uint64
@@ -203,7 +209,10 @@
 }
 
 func (c *Core) helloMessage(now time.Time, reply bool) steerwire.Message {
-	m := steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: c.options.Node, Incarnation: c.options.Incarnation, Reply: reply, Decisions: c.decisions.Revision, DecisionDigest: c.decisions.Digest}}
+	m := steerwire.Message{Kind: steerwire.KindHello, Hello: steerwire.Hello{Node: c.options.Node, Incarnation: c.options.Incarnation, Reply: reply}}
+	if c.decisionsConfirmed(now) {
+		m.Hello.DecisionsEpoch, m.Hello.Decisions, m.Hello.DecisionDigest = c.decisions.Epoch, c.decisions.Revision, c.decisions.Digest
+	}
 	if c.config != nil {
 		m.Hello.Revision, m.Hello.ConfigVersion = c.config.Revision, c.config.Version
 	}
@@ -320,15 +329,16 @@
 	isNew := p.lastHello.IsZero() || p.incarnation != h.Incarnation
 	if isNew {
 		c.log(Entry{Event: "balancer", Target: from, Reason: "heard", Version: h.ConfigVersion})
-		p.config = configStamp{}
+		p.config, p.decisions = configStamp{}, Decisions{}
 	}
 	c.setStoreEpoch(now, h.Epoch, time.Duration(h.EpochAgeMillis)*time.Millisecond, "hello")
 	p.lastHello, p.incarnation, p.wantsAgents = now, h.Incarnation, h.WantAgents
 	if next := (configStamp{h.Revision, h.ConfigVersion}); next.newerThan(p.config) {
 		p.config = next
 	}
-	if h.Decisions > p.decisions.Revision {
-		p.decisions = Decisions{Revision: h.Decisions, Digest: h.DecisionDigest}
+	epoch := cmp.Or(h.DecisionsEpoch, c.decisions.Epoch) // a peer of an earlier release sends the revision only
+	if next := (Decisions{Epoch: epoch, Revision: h.Decisions, Digest: h.DecisionDigest}); h.Decisions > 0 && next.newerThan(p.decisions) {
+		p.decisions = next
 	}
 	p.lost, p.dataCentre, p.unresponsive, p.noStore = h.Lost, h.DataCentre, false, h.NoStore
 	for _, a := range h.Agents {
@@ -356,7 +366,7 @@
 	}
 	var newer []*peer
 	for _, p := range c.peers {
-		isNewer := p.config.newerThan(own) || p.decisions.Revision > c.decisions.Revision && p.decisions.Digest != c.decisions.Digest
+		isNewer := p.config.newerThan(own) || p.hasNewerDecisions(c.decisions)
 		if isNewer && now.Sub(p.lastHello) < peerTimeout {
 			newer = append(newer, p)
 		}
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -206,6 +206,8 @@
 	Epoch uint64 `cbor:"13,keyasint,omitzero"`
 	// EpochAgeMillis is how long the sender has known the epoch, limited to an hour.
 	EpochAgeMillis int64 `cbor:"14,keyasint,omitzero"`
+	// DecisionsEpoch is the epoch of the store in which the decision files were read.
+	DecisionsEpoch uint64 `cbor:"16,keyasint,omitzero"`
 	// Unlisted is set if the store did not list the receiving agent lately. Sent to agents.
 	Unlisted bool `cbor:"15,keyasint,omitzero"`
 }
