balancers: the core knows a listing's epoch before it decides on decision files

A second restoration, or one just before a start, could be decided with the age of the epoch before, because the epoch reached the core from another goroutine. Callers would have been served by fewer decision files than acknowledged. Found by reading. Change: the listing's epoch is passed to the core first. A response without an epoch is not taken for one of the lost history. Result: TestFaultStoreLosesDecisionFiles restores twice.

--- a/internal/passnode/decisions.go
+++ b/internal/passnode/decisions.go
@@ -82,7 +82,7 @@
 		l, err := list(ctx, config.StorePrefix)
 		if err == nil {
 			if first {
-				b.awaitPeerDecisions(ctx)
+				b.awaitPeerDecisions(ctx, l.Position.Epoch)
 			}
 			l, err = b.restoreDecisions(ctx, l)
 		}
@@ -116,10 +116,13 @@
 
 // awaitPeerDecisions waits until the core has decision files of a peer, if it needs them
 // to find out what a restored store has lost.
-func (b *Balancer) awaitPeerDecisions(ctx context.Context) {
+func (b *Balancer) awaitPeerDecisions(ctx context.Context, epoch uint64) {
 	for deadline := time.Now().Add(peerDecisionsTimeout); time.Now().Before(deadline); {
 		awaits := false
-		_ = b.loop.call(ctx, func(now time.Time) { awaits = b.core.AwaitsPeerDecisions(now) }) // fails only at shutdown
+		_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
+			b.execute(now, b.core.SetStoreEpoch(now, epoch))
+			awaits = b.core.AwaitsPeerDecisions(now)
+		})
 		if !awaits {
 			return
 		}
@@ -143,7 +146,10 @@
 		return l, nil
 	}
 	may := false
-	_ = b.loop.call(ctx, func(now time.Time) { may = b.core.MayRestoreDecisions(now) }) // fails only at shutdown
+	_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
+		b.execute(now, b.core.SetStoreEpoch(now, l.Position.Epoch))
+		may = b.core.MayRestoreDecisions(now)
+	})
 	if !may {
 		return l, errRestoreLater
 	}
--- a/internal/passnode/decisions_test.go
+++ b/internal/passnode/decisions_test.go
@@ -94,6 +94,15 @@
 	is.NoErr(err)
 	is.Equal(len(l.Objects), 1)
 	is.Equal(l.Objects[0].Path, drain)
+
+	s.Restore(backup) // once more
+	_, err = b.opts.Store.Get(ctx, claim)
+	is.NoErr(err)
+	eventually(t, "the files of the store restored twice are in effect", func() bool {
+		d := decisionsOf(ctx, b)
+		is.Equal(d.Digest, before.Digest)
+		return d.Epoch == 3
+	})
 }
 
 // Guards against files that stay in effect for ever because the store refuses to take them back.
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -187,7 +187,7 @@
 		latest := c.recordEpoch(epoch)
 		var data []byte
 		if data, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes)); err == nil {
-			if epoch < latest && k.method == http.MethodGet {
+			if epoch != 0 && epoch < latest && k.method == http.MethodGet {
 				return epoch, &Error{Kind: Outdated, Call: k.String(), Message: fmt.Sprintf("epoch %d, the store has %d", epoch, latest)}
 			}
 			return epoch, c.decodeResponse(k, resp, data, out)
