confsync: decision files survive a restored store in the own HTTP mode too

Callers could be served by an old decision file after the store came back from a copy: a change at a version that is assigned again was ignored, and lost files were kept in memory but not in the store. Cause: files ordered by store version, as configurations were on the platform. Change: files are ordered by epoch and version in one number, which equals the version while the store has never been restored. A balancer that had files before compares the first listing of an epoch after 1.5 s, in which peers have sent what it missed, writes back what is lost, and follows the store from then on. One that starts meanwhile takes the objects for those of the epoch before, so that they do not replace later files of its peers. The write of a lost file is one function of the client for both modes.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -96,6 +96,7 @@
 type PushFileParams struct {
 	Name    string `json:"name"`
 	Version uint64 `json:"version"`
+	Epoch   uint64 `json:"epoch,omitempty"` // of the store
 	Removed bool   `json:"removed,omitempty"`
 	Content []byte `json:"content,omitempty"`
 }
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -201,6 +201,8 @@
 			c.serveIfReady()
 		case confsync.List:
 			c.out = append(c.out, List{})
+		case confsync.Restore:
+			c.out = append(c.out, Restore(a))
 		case confsync.Watch:
 			c.out = append(c.out, Watch(a))
 		case confsync.Unwatch:
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -28,14 +28,20 @@
 	Opening bool
 }
 
-// StoreList is the answer to a List action: all files as of store version Rev.
+// StoreList is the answer to a List action: all files as of store version Rev in an epoch
+// of the store. Restored is set if it followed the writes of a Restore action.
 type StoreList struct {
-	Rev   uint64
-	Files []message.File
+	Rev      uint64
+	Epoch    uint64
+	Files    []message.File
+	Restored bool
 }
 
 // StoreEvent is one change reported by the watch.
-type StoreEvent struct{ File message.File }
+type StoreEvent struct {
+	File  message.File
+	Epoch uint64
+}
 
 // StoreLost reports that the store does not answer or that the watch broke.
 type StoreLost struct{}
@@ -44,7 +50,10 @@
 type StoreBack struct{}
 
 // Pushed is a file from ctl that the store has accepted.
-type Pushed struct{ File message.File }
+type Pushed struct {
+	File  message.File
+	Epoch uint64
+}
 
 // Leave makes the balancer advertise that it is about to stop. With Final set, it is about to exit
 // and advertises the state gone.
@@ -83,8 +92,14 @@
 // List requests one listing of all files from the store.
 type List struct{}
 
-// Watch requests all changes after a store version, until Unwatch or StoreLost.
-type Watch struct{ From uint64 }
+// Watch requests all changes after a store version of an epoch, until Unwatch or StoreLost.
+type Watch struct {
+	From  uint64
+	Epoch uint64
+}
+
+// Restore requests the writes of files that the store has lost, and a listing after them.
+type Restore struct{ Writes []config.FileWrite }
 
 // Unwatch ends the watch.
 type Unwatch struct{}
@@ -106,6 +121,7 @@
 func (Release) balancerAction()       {}
 func (List) balancerAction()          {}
 func (Watch) balancerAction()         {}
+func (Restore) balancerAction()       {}
 func (Unwatch) balancerAction()       {}
 func (Serving) balancerAction()       {}
 func (ConfigChanged) balancerAction() {}
--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -58,8 +58,8 @@
 // the store was unreachable.
 //
 // If all nodes restart while the store is unreachable, none is ready until the
-// store is reachable again. If the store is restored to smaller versions, nodes
-// keep their newer files. A removal is kept for the next 65,536 store versions; a
+// store is reachable again. If the store is restored from a copy, its epoch rises; nodes
+// keep their files, and those that list the store write back what it lost. A removal is kept for the next 65,536 store versions; a
 // node that listed the store after the removal keeps it without limit.
 type Sync struct {
 	opts    Options
@@ -74,7 +74,9 @@
 
 	storeLost       bool
 	listReceived    bool          // since the start of the process
-	listRev         uint64        // newest store version of a listing
+	listRev         uint64        // newest store version of a listing in epoch
+	epoch           uint64        // of the store, of the last listing that was applied
+	restoredAt      time.Time     // first listing of a later epoch, not applied yet
 	listRequestedAt time.Time     // time of the last request for a listing
 	listPending     bool          // the last request is not answered
 	listRetryDelay  time.Duration // until the request is repeated
@@ -148,9 +150,9 @@
 	case StoreList:
 		s.handleList(e)
 	case StoreEvent:
-		s.apply([]message.File{e.File}, 0, true, true)
+		s.apply(ordered(e.Epoch, []message.File{e.File}), 0, true, true)
 	case Pushed:
-		s.apply([]message.File{e.File}, 0, true, true)
+		s.apply(ordered(e.Epoch, []message.File{e.File}), 0, true, true)
 	case StoreLost:
 		s.storeLost, s.watching = true, false
 	case StoreBack:
@@ -182,7 +184,7 @@
 	case !s.ready:
 	case relay && !s.watching && s.listReceived && !s.listPending && !s.storeLost && s.now.Sub(s.listRequestedAt) < listMaxAge:
 		s.watching = true
-		s.out = append(s.out, Watch{From: s.listRev})
+		s.out = append(s.out, Watch{From: s.listRev, Epoch: s.epoch})
 	case relay && !s.watching && !s.listPending && !s.storeLost:
 		s.requestList()
 	case !relay && s.watching:
@@ -191,12 +193,6 @@
 	}
 }
 
-func (s *Sync) handleList(e StoreList) {
-	s.listPending, s.listReceived, s.storeLost = false, true, false
-	s.listRev, s.listRetryDelay = max(s.listRev, e.Rev), listTimeout
-	s.apply(e.Files, e.Rev, true, s.ready)
-}
-
 // apply stores files. If floor is not 0, files lists all files as of that version.
 // queueUpdates spreads changes to peers; it is not set for the state that a
 // starting node receives, because the others have it. If crossDC is set, changes
--- a/internal/confsync/events.go
+++ b/internal/confsync/events.go
@@ -7,6 +7,7 @@
 import (
 	"net/netip"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/config"
 	"github.com/bulrushshelf/bulrushshelf/internal/gossip"
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
@@ -22,15 +23,21 @@
 type Event interface{ event() }
 
 // StoreList is the complete answer to a List action: all files as of the store
-// version Rev.
+// version Rev in an epoch of the store.
 type StoreList struct {
 	Rev   uint64
+	Epoch uint64
 	Files []message.File
+	// Restored is set if the listing followed the writes of a Restore action.
+	Restored bool
 }
 
 // StoreEvent is one change reported by a watch. The version of a removal is the
 // one at which the file was removed.
-type StoreEvent struct{ File message.File }
+type StoreEvent struct {
+	File  message.File
+	Epoch uint64
+}
 
 // StoreLost reports that the store does not answer or that the watch ended.
 type StoreLost struct{}
@@ -46,7 +53,10 @@
 }
 
 // Pushed is a file that the store accepted and that ctl pushed with its store version.
-type Pushed struct{ File message.File }
+type Pushed struct {
+	File  message.File
+	Epoch uint64
+}
 
 // PeersChanged lists the live balancers; see membership.PeersChanged.
 type PeersChanged struct{ Peers []gossip.Peer }
@@ -69,8 +79,16 @@
 // List requests one listing of all files.
 type List struct{}
 
-// Watch requests all changes after store version From, until Unwatch or StoreLost.
-type Watch struct{ From uint64 }
+// Watch requests all changes after store version From of an epoch, until Unwatch or
+// StoreLost.
+type Watch struct {
+	From  uint64
+	Epoch uint64
+}
+
+// Restore requests the writes of files that the store lost when it was restored from a
+// copy, and a listing after them, or StoreLost.
+type Restore struct{ Writes []config.FileWrite }
 
 // Unwatch ends the watch.
 type Unwatch struct{}
@@ -95,6 +113,7 @@
 
 func (List) action()         {}
 func (Watch) action()        {}
+func (Restore) action()      {}
 func (Unwatch) action()      {}
 func (Send) action()         {}
 func (FilesChanged) action() {}
--- a/internal/ctl/remote.go
+++ b/internal/ctl/remote.go
@@ -170,7 +170,7 @@
 	} else {
 		a.warnf("the file is accepted, but the folder could not be read again: %v", err)
 	}
-	r.Pushed = a.pushToBalancers(admin.PushFileParams{Name: name, Version: w.Version, Content: data})
+	r.Pushed = a.pushToBalancers(admin.PushFileParams{Name: name, Version: w.Version, Epoch: w.Epoch, Content: data})
 	return r, nil
 }
 
--- a/internal/gossip/confsync_test.go
+++ b/internal/gossip/confsync_test.go
@@ -17,6 +17,7 @@
 // fakeStore is the platform's object store in virtual time.
 type fakeStore struct {
 	rev         uint64
+	epoch       uint64                  // rises when the store is restored
 	files       map[string]message.File // including removed files
 	log         []message.File          // all changes, in order of their versions
 	unreachable bool
@@ -33,7 +34,7 @@
 }
 
 func (s *fakeStore) list() confsync.StoreList {
-	l := confsync.StoreList{Rev: s.rev}
+	l := confsync.StoreList{Rev: s.rev, Epoch: s.epoch}
 	for _, f := range s.files {
 		if !f.Removed {
 			l.Files = append(l.Files, f)
@@ -54,6 +55,7 @@
 	ready      bool
 	watching   bool
 	watchedRev uint64 // events up to this version were delivered
+	epoch      uint64 // of the store that it watches
 	pending    []dueEvent
 	newest     map[string]message.File // newest versions that were in force, including removals
 	rev        uint64
@@ -80,7 +82,7 @@
 
 func newFileFleet(seed uint64, n int) *fileFleet {
 	f := &fileFleet{sim: newSim(seed)}
-	f.store = fakeStore{files: map[string]message.File{}, answerDelay: 5 * time.Millisecond}
+	f.store = fakeStore{epoch: 1, files: map[string]message.File{}, answerDelay: 5 * time.Millisecond}
 	for i := range 20 {
 		f.store.put(fmt.Sprintf("%02d-start.yaml", i), "start", false)
 	}
@@ -119,10 +121,14 @@
 		h.watching = false
 		out = append(out, f.handle(h, confsync.StoreLost{})...)
 	}
+	if h.watching && h.epoch != f.store.epoch { // the client lists again
+		h.epoch, h.watchedRev = f.store.epoch, f.store.rev
+		h.pending = append(h.pending, dueEvent{f.now.Add(f.store.answerDelay), f.store.list()})
+	}
 	if h.watching && h.watchedRev < f.store.rev {
 		for _, file := range f.store.log[h.watchedRev:] {
 			f.store.calls++ // each event needs a new watch request
-			h.pending = append(h.pending, dueEvent{f.now.Add(f.store.answerDelay), confsync.StoreEvent{File: file}})
+			h.pending = append(h.pending, dueEvent{f.now.Add(f.store.answerDelay), confsync.StoreEvent{File: file, Epoch: f.store.epoch}})
 		}
 		h.watchedRev = f.store.rev
 	}
@@ -152,7 +158,12 @@
 			}
 			h.pending = append(h.pending, dueEvent{f.now.Add(f.store.answerDelay), ev})
 		case confsync.Watch:
-			h.watching, h.watchedRev = true, a.From
+			h.watching, h.watchedRev, h.epoch = true, a.From, a.Epoch
+		case confsync.Restore:
+			f.store.writeBack(a.Writes)
+			list := f.store.list()
+			list.Restored = true
+			h.pending = append(h.pending, dueEvent{f.now.Add(f.store.answerDelay), list})
 		case confsync.Unwatch:
 			h.watching = false
 		case confsync.FilesChanged:
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -9,6 +9,7 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/admin"
 	"github.com/bulrushshelf/bulrushshelf/internal/balancer"
 	"github.com/bulrushshelf/bulrushshelf/internal/config"
+	"github.com/bulrushshelf/bulrushshelf/internal/confsync"
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/packet"
@@ -83,14 +84,15 @@
 // PushFile implements admin.Node. It returns once the configuration in force
 // contains the file.
 func (a BalancerAdmin) PushFile(ctx context.Context, p admin.PushFileParams) (admin.PushFileResult, error) {
-	a.Balancer.Post(ctx, balancer.Pushed{File: message.File{Name: p.Name, Version: p.Version, Removed: p.Removed, Content: p.Content}})
+	a.Balancer.Post(ctx, balancer.Pushed{Epoch: p.Epoch, File: message.File{Name: p.Name, Version: p.Version, Removed: p.Removed, Content: p.Content}})
+	version := confsync.OrderedVersion(p.Epoch, p.Version)
 	for {
 		var rev uint64
 		if !a.Balancer.calls.do(ctx, a.Balancer.stopped, func() { _, rev = a.Balancer.core.Snapshot() }) {
 			return admin.PushFileResult{}, errStopped
 		}
-		if rev >= p.Version {
-			return admin.PushFileResult{Version: rev, Changed: rev == p.Version}, nil
+		if rev >= version {
+			return admin.PushFileResult{Version: rev, Changed: rev == version}, nil
 		}
 		sleep(ctx, pushPollInterval)
 	}
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -294,8 +294,10 @@
 		switch a := a.(type) {
 		case balancer.List:
 			b.store.startListing(ctx, g)
+		case balancer.Restore:
+			b.store.startRestore(ctx, g, a.Writes)
 		case balancer.Watch:
-			b.store.startWatch(ctx, g, a.From)
+			b.store.startWatch(ctx, g, storeclient.Position{Epoch: a.Epoch, Revision: a.From})
 		case balancer.Unwatch:
 			b.store.stopWatching()
 		case balancer.Serving:
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -40,10 +40,42 @@
 			s.post(ctx, balancer.StoreLost{})
 			return nil
 		}
-		ev := balancer.StoreList{Rev: listing.Position.Revision}
-		for _, o := range listing.Objects {
-			ev.Files = append(ev.Files, decisionFileOf(storeclient.Change{Object: o}))
+		s.post(ctx, storeListOf(listing))
+		return nil
+	})
+}
+
+func storeListOf(l storeclient.Listing) balancer.StoreList {
+	ev := balancer.StoreList{Rev: l.Position.Revision, Epoch: l.Position.Epoch}
+	for _, o := range l.Objects {
+		ev.Files = append(ev.Files, decisionFileOf(storeclient.Change{Object: o}))
+	}
+	return ev
+}
+
+// startRestore writes decision files that a restored store has lost, and lists the files
+// again.
+func (s *storeSync) startRestore(ctx context.Context, g *errgroup.Group, writes []config.FileWrite) {
+	if s.client == nil {
+		return
+	}
+	g.Go(func() error {
+		for _, w := range writes {
+			err := s.client.RestoreFile(ctx, DecisionFilesPrefix, w)
+			s.logger.Info("decision file restored", "file", w.Name, "removed", w.Remove, "err", err)
+			if err != nil {
+				s.post(ctx, balancer.StoreLost{})
+				return nil
+			}
+		}
+		listing, err := s.client.List(ctx, DecisionFilesPrefix)
+		if err != nil {
+			s.logger.Warn("store listing failed", "err", err)
+			s.post(ctx, balancer.StoreLost{})
+			return nil
 		}
+		ev := storeListOf(listing)
+		ev.Restored = true
 		s.post(ctx, ev)
 		return nil
 	})
@@ -51,14 +83,14 @@
 
 // startWatch starts a watch that replaces the current one. The client resumes it
 // after failures.
-func (s *storeSync) startWatch(ctx context.Context, g *errgroup.Group, from uint64) {
+func (s *storeSync) startWatch(ctx context.Context, g *errgroup.Group, from storeclient.Position) {
 	s.stopWatching()
 	if s.client == nil {
 		return
 	}
 	ctx, s.cancelWatch = context.WithCancel(ctx)
 	g.Go(func() error {
-		_ = s.client.Watch(ctx, DecisionFilesPrefix, storeclient.Position{Revision: from}, func(b storeclient.Batch) error {
+		_ = s.client.Watch(ctx, DecisionFilesPrefix, from, func(b storeclient.Batch) error {
 			s.handleBatch(ctx, b)
 			return nil
 		})
@@ -69,11 +101,11 @@
 func (s *storeSync) handleBatch(ctx context.Context, b storeclient.Batch) {
 	if !b.Reset {
 		for _, c := range b.Changes {
-			s.post(ctx, balancer.StoreEvent{File: decisionFileOf(c)})
+			s.post(ctx, balancer.StoreEvent{File: decisionFileOf(c), Epoch: b.Position.Epoch})
 		}
 		return
 	}
-	ev := balancer.StoreList{Rev: b.Position.Revision}
+	ev := balancer.StoreList{Rev: b.Position.Revision, Epoch: b.Position.Epoch}
 	for _, c := range b.Changes {
 		ev.Files = append(ev.Files, decisionFileOf(c))
 	}
--- a/internal/passnode/decisions.go
+++ b/internal/passnode/decisions.go
@@ -162,32 +162,16 @@
 		return fresh, nil
 	}
 	for _, w := range writes {
-		err := b.writeDecision(ctx, w)
+		err := b.opts.Store.RestoreFile(ctx, config.StorePrefix, w)
+		b.opts.Metrics.Count(CounterDecisions, "restored", 1)
 		b.logViaLoop(ctx, "decision_restored", "file", w.Name, "removed", w.Remove, "epoch", fresh.Position.Epoch, "known_epoch", known.Epoch, "known_revision", known.Revision, "err", errText(err))
-		switch storeclient.KindOf(err) {
-		case 0, storeclient.Conflict, storeclient.NotFound: // another balancer or an operator was first
-		default:
+		if err != nil {
 			return fresh, err
 		}
 	}
 	return b.opts.Store.List(ctx, config.StorePrefix)
 }
 
-func (b *Balancer) writeDecision(ctx context.Context, w config.FileWrite) error {
-	var err error
-	path := config.StorePrefix + w.Name
-	switch {
-	case w.Remove:
-		_, err = b.opts.Store.Delete(ctx, path, w.Version)
-	case w.Version > 0:
-		_, err = b.opts.Store.Update(ctx, path, w.Version, w.Content)
-	default:
-		_, err = b.opts.Store.Create(ctx, path, w.Content)
-	}
-	b.opts.Metrics.Count(CounterDecisions, "restored", 1)
-	return err
-}
-
 // applyListedDecisions puts the decision files of a listing into effect.
 func (b *Balancer) applyListedDecisions(ctx context.Context, l storeclient.Listing) {
 	f := folderOf(l)
--- a/internal/storeclient/write.go
+++ b/internal/storeclient/write.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/config"
 	"github.com/bulrushshelf/bulrushshelf/internal/storeapi"
 )
 
@@ -88,6 +89,24 @@
 	return c.Delete(ctx, path, at.Revision)
 }
 
+// RestoreFile writes a decision file that a restored store has lost, in the folder prefix. It
+// succeeds also if another process has changed the file since it was listed.
+func (c *Client) RestoreFile(ctx context.Context, prefix string, w config.FileWrite) error {
+	var err error
+	switch {
+	case w.Remove:
+		_, err = c.Delete(ctx, prefix+w.Name, w.Version)
+	case w.Version > 0:
+		_, err = c.Update(ctx, prefix+w.Name, w.Version, w.Content)
+	default:
+		_, err = c.Create(ctx, prefix+w.Name, w.Content)
+	}
+	if kind := KindOf(err); kind == Conflict || kind == NotFound {
+		return nil
+	}
+	return err
+}
+
 func (c *Client) write(ctx context.Context, method string, w writeOp) (WriteResult, error) {
 	k := call{method: method, path: objectPath(w.path)}
 	if method != http.MethodPost {
