--- a/internal/passnode/decisions_test.go
+++ b/internal/passnode/decisions_test.go
@@ -18,6 +18,17 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/telemetry"
 )
 
+// startStore starts a stand-in of the store. It returns its URL and an operator's client.
+func startStore(t *testing.T) (*store.Store, string, *storeclient.Client) {
+	t.Helper()
+	s := store.New(store.Options{})
+	server := httptest.NewServer(s)
+	t.Cleanup(func() { go server.Close() })
+	operator, err := storeclient.New(storeclient.Options{URL: server.URL})
+	is.New(t).NoErr(err)
+	return s, server.URL, operator
+}
+
 // runDecisionReader runs the part of a balancer that reads decision files.
 func runDecisionReader(ctx context.Context, t *testing.T, url string) *Balancer {
 	t.Helper()
@@ -62,11 +73,7 @@
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := store.New(store.Options{})
-	server := httptest.NewServer(s)
-	t.Cleanup(func() { go server.Close() })
-	operator, err := storeclient.New(storeclient.Options{URL: server.URL})
-	is.NoErr(err)
+	s, url, operator := startStore(t)
 	const drain, claim = config.StorePrefix + "90-drain.yaml", config.StorePrefix + "20-claim.yaml"
 	w, err := operator.Create(ctx, claim, []byte("service: beta\naddresses: [198.18.0.1:443]\n"))
 	is.NoErr(err)
@@ -75,7 +82,7 @@
 	is.NoErr(err)
 	_, err = operator.Delete(ctx, claim, w.Version)
 	is.NoErr(err)
-	b := runDecisionReader(ctx, t, server.URL)
+	b := runDecisionReader(ctx, t, url)
 	eventually(t, "the drain is known", func() bool { return decisionsOf(ctx, b).Digest != 0 })
 	before := decisionsOf(ctx, b)
 	is.Equal(b.decisions.Load().Removed, nil)
@@ -110,15 +117,11 @@
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := store.New(store.Options{})
-	server := httptest.NewServer(s)
-	t.Cleanup(func() { go server.Close() })
-	operator, err := storeclient.New(storeclient.Options{URL: server.URL})
-	is.NoErr(err)
+	s, url, operator := startStore(t)
 	backup := s.Backup()
-	_, err = operator.Create(ctx, config.StorePrefix+"90-drain.yaml", []byte("target: a\ndrain: true\n"))
+	_, err := operator.Create(ctx, config.StorePrefix+"90-drain.yaml", []byte("target: a\ndrain: true\n"))
 	is.NoErr(err)
-	b := runDecisionReader(ctx, t, server.URL)
+	b := runDecisionReader(ctx, t, url)
 	eventually(t, "the drain is known", func() bool { return decisionsOf(ctx, b).Digest != 0 })
 	s.SetFaults(store.Faults{Unavailable: true})
 	s.Restore(backup)
--- a/internal/steersim/restored_test.go
+++ b/internal/steersim/restored_test.go
@@ -96,22 +96,34 @@
 	}
 }
 
+// simWithNewAgents returns a deployment with three agents that a copy of the store lacks,
+// and the agents in that copy.
+func simWithNewAgents(t *testing.T, seed uint64) (s *sim, backup []netip.AddrPort) {
+	s = newSim(t, seed, 6, services)
+	s.run(5 * time.Second)
+	backup = s.listed()
+	for range 3 {
+		s.addAgent("alpha", false)
+	}
+	return s, backup
+}
+
+// restoreAndRestartBalancers restores the store and kills all balancers, which start again.
+func (s *sim) restoreAndRestartBalancers(backup []netip.AddrPort) {
+	s.restoreStore(backup)
+	for _, b := range s.balancers {
+		b.kill()
+		s.after(450*time.Millisecond+time.Duration(s.rand.IntN(300))*time.Millisecond, b.start)
+	}
+}
+
 // Guards against agents that are never found again when the store loses them and all
 // balancers restart before they have registered again.
 func TestHistoryLostAgentsAreFoundByRestartedBalancers(t *testing.T) {
 	for _, seed := range seeds {
-		s := newSim(t, seed, 6, services)
-		s.run(5 * time.Second)
-		backup := s.listed()
-		for range 3 {
-			s.addAgent("alpha", false)
-		}
+		s, backup := simWithNewAgents(t, seed)
 		s.run(10 * time.Second)
-		s.restoreStore(backup)
-		for _, b := range s.balancers {
-			b.kill()
-			s.after(450*time.Millisecond+time.Duration(s.rand.IntN(300))*time.Millisecond, b.start)
-		}
+		s.restoreAndRestartBalancers(backup)
 		s.run(4 * time.Second)
 		if n := len(s.listed()); n != len(s.agents) {
 			s.fail("the store lists %d agents, want %d", n, len(s.agents))
@@ -123,20 +135,11 @@
 // before these have registered again.
 func TestHistoryNoOpenFlowIsResetInARestoredStore(t *testing.T) {
 	for _, seed := range seeds {
-		s := newSim(t, seed, 6, services)
-		s.run(5 * time.Second)
-		backup := s.listed()
-		for range 3 {
-			s.addAgent("alpha", false)
-		}
+		s, backup := simWithNewAgents(t, seed)
 		s.run(6 * time.Second)
 		s.generateTraffic(12*time.Second, 100, 0.5)
 		s.run(4 * time.Second)
-		s.restoreStore(backup)
-		for _, b := range s.balancers {
-			b.kill()
-			s.after(450*time.Millisecond+time.Duration(s.rand.IntN(300))*time.Millisecond, b.start)
-		}
+		s.restoreAndRestartBalancers(backup)
 		s.run(10 * time.Second) // reset checks that no running target holds the flow
 	}
 }
