passnode: tests of the memory of removed decision files and of the wait for a peer's

Taking guards out one at a time had shown that no test failed when the runtime forgets removed files, and none played a balancer that starts in a restored store before a peer's files arrive: callers would have reached a drained target, or a removed claim. The guards were there; what was missing are their tests. No code changed.

--- a/internal/passnode/decisions_test.go
+++ b/internal/passnode/decisions_test.go
@@ -136,3 +136,43 @@
 	})
 	eventually(t, "the files of the restored store are in effect", func() bool { return decisionsOf(ctx, b).Epoch == 2 })
 }
+
+// Guards against a removed file that is taken for a new one after the store was restored,
+// because the balancer does not remember its removal.
+func TestRemovedDecisionFilesAreRemembered(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b := newTestBalancer(t)
+	go func() { _ = b.loop.run(ctx) }()
+	listing := func(revision uint64, objects ...storeclient.Object) storeclient.Listing {
+		return storeclient.Listing{Position: storeclient.Position{Epoch: 1, Revision: revision}, Objects: objects}
+	}
+	claim := storeclient.Object{Path: config.StorePrefix + "20-claim.yaml", Version: 7, Content: []byte("service: beta\n")}
+	b.applyListedDecisions(ctx, listing(10, claim))
+	b.applyListedDecisions(ctx, listing(11))
+	is.Equal(b.decisions.Load().Removed, map[string]uint64{"20-claim.yaml": 7})
+}
+
+// Guards against a drain that ends because a balancer that starts in a restored store takes
+// the files there for complete, although a peer knows those that it lost.
+func TestFaultBalancerStartsInARestoredStore(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s, url, operator := startStore(t)
+	s.Restore(s.Backup())
+	b := runDecisionReader(ctx, t, url)
+	time.Sleep(peerDecisionsTimeout / 2) // until the peer's files arrive
+	b.applyDecisions(ctx, sharedDecisions{
+		Epoch: 1, Revision: 40, Files: map[string][]byte{"90-drain.yaml": []byte("target: a\ndrain: true\n")},
+		Versions: map[string]uint64{"90-drain.yaml": 32},
+	}, "peer")
+	eventually(t, "the drain is in the store again", func() bool {
+		_, err := operator.Get(ctx, config.StorePrefix+"90-drain.yaml")
+		return err == nil
+	})
+	eventually(t, "the drain is in effect in the new epoch", func() bool {
+		d := decisionsOf(ctx, b)
+		return d.Epoch == 2 && d.Digest != 0
+	})
+}
