--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -281,12 +281,15 @@
 }
 
 func (b *Balancer) logEntry(now time.Time, e steer.Entry) {
-	f := make(fields, 0, 16)
+	f := make(fields, 0, 18)
 	f.addFlow(e.Flow)
 	f.addText("service", string(e.Service))
 	if e.Target.IsValid() {
 		f.addField("target", e.Target.String())
 	}
+	if e.Incarnation != 0 {
+		f.addField("incarnation", e.Incarnation)
+	}
 	f.addText("reason", e.Reason)
 	f.addAge(e.Age)
 	f.addField("config_version", e.Version)
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -93,6 +93,9 @@
 	// maxStartSpread is the maximum time between the starts of a deployment's processes
 	// after all of them were killed or lost power.
 	maxStartSpread = 300 * time.Millisecond
+	// ignoredReportLogInterval is the minimum interval between log lines about ignored reports
+	// of an agent.
+	ignoredReportLogInterval = time.Second
 	// minListInterval is the minimum interval between the store listings that confirm resets.
 	minListInterval = 100 * time.Millisecond
 )
@@ -182,6 +185,8 @@
 	Version int64         // configuration version in effect
 	Age     time.Duration // of the report used for the decision, or of the state that changed
 	Detail  int           // number of targets, agents, query attempts, routes or slots, depending on Event
+	// Incarnation is the one of the agent that the entry is about, 0 if it does not matter.
+	Incarnation model.Incarnation
 }
 
 // Counter is the name of a metric and its reason label.
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -28,6 +28,7 @@
 	override       config.Override // from decision files
 	lastReport     time.Time       // when the last report was received
 	firstReport    time.Time       // when the first report of its incarnation was received
+	lastIgnored    time.Time       // when an ignored report was last logged
 	coldUntil      time.Time       // end of the target's warm-up
 	assigned       float64         // flows placed since the last report
 	suspectUntil   time.Time       // before it, the target gets no new flows if there are others
@@ -258,13 +259,14 @@
 	}
 	if t.reported && (r.Incarnation < t.report.Incarnation || r.Incarnation == t.report.Incarnation && r.Sequence <= t.report.Sequence) {
 		c.count(CounterDropped, "old_report")
+		c.logIgnoredReport(now, t, r)
 		return
 	}
 	old := t.report
 	if !t.reported || old.State != r.State || old.Incarnation != r.Incarnation || old.Service != r.Service {
-		c.log(Entry{Event: "target", Service: r.Service, Target: from, Reason: r.State.String(), Age: now.Sub(t.lastReport), Detail: r.Slots})
+		c.log(Entry{Event: "target", Service: r.Service, Target: from, Reason: r.State.String(), Age: now.Sub(t.lastReport), Detail: r.Slots, Incarnation: r.Incarnation})
 	} else if !c.reachable(now, t) {
-		c.log(Entry{Event: "regained", Service: r.Service, Target: from, Age: now.Sub(t.lastReport)})
+		c.log(Entry{Event: "regained", Service: r.Service, Target: from, Age: now.Sub(t.lastReport), Incarnation: r.Incarnation})
 	}
 	if !t.reported || old.Incarnation != r.Incarnation {
 		t.firstReport = now
@@ -291,6 +293,16 @@
 	}
 }
 
+// logIgnoredReport logs that the reports of another incarnation than the known one are
+// ignored, at most once in ignoredReportLogInterval.
+func (c *Core) logIgnoredReport(now time.Time, t *target, r steerwire.Report) {
+	if r.Incarnation == t.report.Incarnation || now.Sub(t.lastIgnored) < ignoredReportLogInterval {
+		return
+	}
+	t.lastIgnored = now
+	c.log(Entry{Event: "report_ignored", Service: r.Service, Target: t.addr, Reason: "other_incarnation", Age: now.Sub(t.lastReport), Incarnation: r.Incarnation})
+}
+
 // rebuildServiceIndex rebuilds the lists of targets by service.
 func (c *Core) rebuildServiceIndex() {
 	clear(c.byService)
