--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -74,6 +74,7 @@
 	epoch         uint64                         // of the store
 	cut           func(a, b netip.AddrPort) bool // reports whether the link between two processes is cut
 	storeCut      func(a netip.AddrPort) bool    // reports whether a process cannot reach the store
+	clockOffset   map[netip.Addr]time.Duration   // of the time of day on a VM
 	listings      int                            // listings of the agents that the store served
 	watches       int                            // configurations that the store sent to balancers
 	registrations int                            // objects that agents have written again
@@ -93,7 +94,7 @@
 		callers: map[model.Flow]*caller{}, holders: map[model.Flow]*target{},
 		misdirected: map[model.Flow][]time.Time{}, requestRuns: map[string]int{}, port: 1024,
 		cut:      func(netip.AddrPort, netip.AddrPort) bool { return false },
-		storeCut: func(netip.AddrPort) bool { return false },
+		storeCut: func(netip.AddrPort) bool { return false }, clockOffset: map[netip.Addr]time.Duration{},
 	}
 	s.started, s.epoch = s.now, storeapi.FirstEpoch
 	s.config = &steer.Config{Revision: 1, Version: 1, IdleTimeout: 15 * time.Second, Routes: map[netip.AddrPort]steer.Route{}}
@@ -157,6 +158,11 @@
 	s.t.Fatalf("%.3f s: "+format, append([]any{s.now.Sub(s.started).Seconds()}, args...)...)
 }
 
+// timeOfDay returns the time of day on the VM of a process in Unix milliseconds.
+func (s *sim) timeOfDay(a netip.AddrPort) int64 {
+	return s.now.Add(s.clockOffset[a.Addr()]).UnixMilli()
+}
+
 // encode and decode stand in for a codec: the bytes of a packet are the index of a stored segment.
 func (s *sim) encode(g segment.Segment) []byte {
 	s.packets = append(s.packets, g)
@@ -229,7 +235,7 @@
 func (b *balancer) start() {
 	s := b.s
 	b.core = steer.New(s.now, steer.Options{
-		Node: model.NodeID("b" + b.addr.String()), Incarnation: model.Incarnation(s.now.UnixMilli()),
+		Node: model.NodeID("b" + b.addr.String()), Incarnation: model.Incarnation(s.timeOfDay(b.addr)),
 		DataCentre: dataCentreOf(b.addr), Seed: s.rand.Uint64(), FlowTTL: time.Minute, Peer: b.addr,
 	})
 	b.core.AddSeeds(s.now, []netip.AddrPort{s.balancers[0].addr})
@@ -362,7 +368,7 @@
 func (a *agent) start(firstStart bool) {
 	s := a.s
 	a.core = passthrough.New(s.now, passthrough.Options{
-		Node: model.NodeID("a" + a.addr.String()), Incarnation: model.Incarnation(s.now.UnixMilli()), DataCentre: dataCentreOf(a.addr),
+		Node: model.NodeID("a" + a.addr.String()), Incarnation: model.Incarnation(s.timeOfDay(a.addr)), DataCentre: dataCentreOf(a.addr),
 		Service: a.target.service, HeartbeatInterval: heartbeatInterval, FlowIdleTimeout: time.Minute, FirstStart: firstStart, FullSegment: 1200,
 	})
 	a.tick(a.core)
--- a/internal/steersim/target_test.go
+++ b/internal/steersim/target_test.go
@@ -35,7 +35,7 @@
 
 func (a *agent) newTarget(service model.ServiceName) {
 	s := a.s
-	t := &target{service: service, id: fmt.Sprintf("t%d", s.rand.Uint32()), startMillis: s.now.UnixMilli(), flows: map[model.Flow]*flowState{}, workTime: 25 * time.Millisecond, slots: 3}
+	t := &target{service: service, id: fmt.Sprintf("t%d", s.rand.Uint32()), startMillis: s.timeOfDay(a.addr), flows: map[model.Flow]*flowState{}, workTime: 25 * time.Millisecond, slots: 3}
 	a.target = t
 	s.after(time.Millisecond, func() { a.sendHeartbeat(t) })
 }
