steer: openings that arrived before the configuration wait for decision files too

Callers saw new flows at a target that a decision file drains, or a refusal at an address that only a decision file claims, when they opened them while a restarted balancer had neither the configuration nor the files because the store was slow.

Cause: openings wait while a peer's hello names decision files that have not arrived, but those that were buffered before were placed as soon as the configuration came into effect, without that check. Read from the code.

Evidence: TestOpeningsBeforeTheConfigurationWaitForDecisions failed before the change (20 of 20 openings were placed at once).

Change: buffered openings that still have to wait stay buffered, at most 200 ms as before. Packets of open flows are not held.

--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -491,7 +491,7 @@
 	case s.FromTarget || s.Flags.Has(segment.Bounced) || s.Accepts():
 		// Only targets send accepting or bounced packets; from a caller they are forged.
 		c.count(CounterDropped, "forged")
-	case c.config == nil, s.Opens() && (!c.unconfirmedSince.IsZero() || c.decisionsMissing(now)):
+	case c.config == nil, s.Opens() && c.openingsWait(now):
 		c.bufferPreConfig(now, s, raw)
 	case s.Opens():
 		c.handleOpening(now, s, raw)
--- a/internal/steer/waiting.go
+++ b/internal/steer/waiting.go
@@ -28,14 +28,23 @@
 	}
 }
 
-// replayPreConfig handles the packets buffered before the first configuration.
+// openingsWait reports whether opening packets are buffered although there is a
+// configuration: it may be outdated, or decision files may override it.
+func (c *Core) openingsWait(now time.Time) bool {
+	return !c.unconfirmedSince.IsZero() || c.decisionsMissing(now)
+}
+
+// replayPreConfig handles the buffered packets, except for opening packets that still
+// have to wait.
 func (c *Core) replayPreConfig(now time.Time) {
-	preConfig := c.preConfig
+	preConfig, openingsWait := c.preConfig, c.openingsWait(now)
 	c.preConfig = nil
 	for _, p := range preConfig {
 		switch {
 		case now.Sub(p.receivedAt) > preConfigTimeout:
 			c.count(CounterDropped, "no_configuration")
+		case p.segment.Opens() && openingsWait:
+			c.preConfig = append(c.preConfig, p)
 		case p.segment.Opens():
 			c.handleOpening(now, p.segment, p.raw)
 		default:
