balancers: new flows wait for the first listing of decision files if a peer's arrive before it

Callers got a refusal at an address whose only target was no longer drained, from a balancer that had started after the removal of the drain; TestDecisionsOnThePlatform failed so (decisions_test.go:83). In the same way they could get a target whose drain was up to 5 s old.

Cause: a balancer that starts lists the decision files and at the same time fetches configuration and files from a peer. Only the configuration that it reads from the store itself waits for the listing. If the peer answered first, new flows were decided by the peer's files, which may be a listing interval old, until the answer of the store came.

Change: while a peer's files are in effect and the store has not listed its own since the start, opening packets are buffered, until 0.1 s after the start at most. Buffered packets are looked at in each tick. The bound is one constant for both waits.

Ruled out: files of the peer that replace a later listing (they are compared by epoch and revision), a stale listing (the first one is fresh).

A store that does not answer for 0.1 s after the start leaves the peer's files in effect, as before.

--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -323,7 +323,8 @@
 }
 
 // readFirstConfig reads the configuration from the store until there is one from any
-// source. It waits for the decision files, but at most firstDecisionsTimeout.
+// source. It waits for the decision files, but at most
+// steer.FirstDecisionsTimeout.
 func (b *Balancer) readFirstConfig(ctx context.Context) {
 	began := time.Now()
 	for ctx.Err() == nil && b.config.Load() == nil {
@@ -332,7 +333,7 @@
 		if err == nil {
 			select {
 			case <-b.decisionsListed:
-			case <-time.After(time.Until(began.Add(firstDecisionsTimeout))):
+			case <-time.After(time.Until(began.Add(steer.FirstDecisionsTimeout))):
 			case <-ctx.Done():
 			}
 			b.applyConfig(ctx, o.Version, o.Content, "store")
--- a/internal/passnode/decisions.go
+++ b/internal/passnode/decisions.go
@@ -19,9 +19,6 @@
 	// edit the files, so it is enough that a change is in effect within 10 s, including the
 	// age of a stale listing. A stale listing costs a tenth of a fresh one.
 	decisionListInterval = 5 * time.Second
-	// firstDecisionsTimeout is how long the first configuration waits for the first
-	// listing, which is requested at the same time. The store answers in 5 ms.
-	firstDecisionsTimeout = 100 * time.Millisecond
 	// restoreRetryInterval is the interval of attempts to write files that a restored store
 	// has lost.
 	restoreRetryInterval = 500 * time.Millisecond
--- a/internal/steer/decisions.go
+++ b/internal/steer/decisions.go
@@ -32,27 +32,32 @@
 // Decisions returns the decision files in effect.
 func (c *Core) Decisions() Decisions { return c.decisions }
 
-// SetDecisions puts decision files into effect if they are newer than the current ones.
+// SetDecisions puts decision files that were listed in the store into effect if they are
+// newer than the current ones.
 func (c *Core) SetDecisions(now time.Time, d Decisions) []Action {
 	c.actions = c.actions[:0]
-	if !d.newerThan(c.decisions) {
-		return nil
-	}
-	if d.Digest == c.decisions.Digest {
+	c.decisionsListed = true
+	c.setDecisions(now, d)
+	return c.actions
+}
+
+func (c *Core) setDecisions(now time.Time, d Decisions) {
+	switch {
+	case !d.newerThan(c.decisions):
+	case d.Digest == c.decisions.Digest:
 		c.decisions.Epoch, c.decisions.Revision, c.decisions.Confirmed = d.Epoch, d.Revision, d.Confirmed
+	default:
+		c.decisions = d
+		for _, t := range c.targets {
+			c.override(t)
+		}
 		if c.base != nil {
-			c.replayPreConfig(now) // new flows may have waited for the files
+			c.replaceConfig(now, c.base, true)
 		}
-		return c.actions
-	}
-	c.decisions = d
-	for _, t := range c.targets {
-		c.override(t)
 	}
 	if c.base != nil {
-		c.replaceConfig(now, c.base, true)
+		c.replayPreConfig(now) // new flows may have waited for the files
 	}
-	return c.actions
 }
 
 // SetPeerDecisions does the same with files that were fetched from a peer, unless the peer
@@ -64,7 +69,9 @@
 		c.log(Entry{Event: "decisions_ignored", Reason: "unconfirmed", Detail: int(d.Epoch)})
 		return c.actions
 	}
-	return c.SetDecisions(now, d)
+	c.actions = c.actions[:0]
+	c.setDecisions(now, d)
+	return c.actions
 }
 
 // decisionsConfirmed reports whether the files in effect include those that the last
@@ -104,9 +111,13 @@
 
 // decisionsMissing reports whether another balancer has decision files and this one,
 // which has just started, has not listed them yet. They may drain a target or claim an
-// address, so new flows wait until they arrive from the store or that balancer.
+// address, so new flows wait until they arrive from the store or that balancer. Those of
+// a balancer may be older than the ones in the store, whose answer gets a short time.
 func (c *Core) decisionsMissing(now time.Time) bool {
-	if c.decisions.Revision > 0 || now.Sub(c.started) >= startupPeriod {
+	switch age := now.Sub(c.started); {
+	case c.decisions.Revision > 0:
+		return !c.decisionsListed && age < FirstDecisionsTimeout
+	case age >= startupPeriod:
 		return false
 	}
 	for _, p := range c.peers {
--- a/internal/steer/restart_test.go
+++ b/internal/steer/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,3 +83,49 @@
 	ready(c, ms(2100), 2, agentA, agentB)
 	is.Equal(len(forwardedTo(c.Packet(ms(2100), syn(2), raw))), 1)
 }
+
+// peerFiles puts the files and the configuration of the peer into effect, as fetched
+// from it. They drain both targets.
+func peerFiles(t *testing.T, c *Core, now time.Time) []Action {
+	actions := slices.Clone(c.SetPeerDecisions(now, decisions(t, 5, map[string]string{"90-drain.yaml": "datacentre: dc-1\ndrain: true\n"})))
+	return append(actions, c.SetPeerConfig(now, configOf(1, "alpha"))...)
+}
+
+// Guards against new flows that a balancer that starts refuses, or places at a drained
+// target, by a peer's decision files that are older than those in the store.
+func TestOpeningsWaitForTheFirstListingOfDecisions(t *testing.T) {
+	is := is.New(t)
+	c := newUnconfiguredCore()
+	c.Packet(ms(3), syn(1), raw)
+	is.True(!hasAction(peerFiles(t, c, ms(4)), ResetCaller))
+	is.True(!hasAction(c.Packet(ms(5), syn(2), raw), ResetCaller))
+	is.True(!hasAction(c.Tick(ms(6)), ResetCaller))
+	is.Equal(len(forwardedTo(c.SetDecisions(ms(8), decisions(t, 6, nil)))), 2)
+	is.Equal(len(forwardedTo(c.Packet(ms(9), syn(3), raw))), 1)
+}
+
+// Guards against new flows that still wait after a listing that is the one of the peer.
+func TestOpeningsContinueOnceTheListingIsThatOfThePeer(t *testing.T) {
+	is := is.New(t)
+	c := newUnconfiguredCore()
+	c.Packet(ms(3), syn(1), raw)
+	peerFiles(t, c, ms(4))
+	is.True(hasAction(c.SetDecisions(ms(8), c.Decisions()), ResetCaller)) // both targets are drained
+	is.True(hasAction(c.Packet(ms(9), syn(2), raw), ResetCaller))
+}
+
+// Guards against new flows that wait for a store that does not answer, and against packets
+// of open flows that wait for decision files.
+func TestOpeningsWaitForTheStoreForAShortTime(t *testing.T) {
+	is := is.New(t)
+	c := newUnconfiguredCore()
+	peerFiles(t, c, ms(4))
+	c.Tick(ms(5))
+	is.True(!hasAction(c.Packet(ms(6), syn(1), raw), ResetCaller))
+	c.Packet(ms(6), data(2), raw)
+	is.Equal(len(c.lookups), 1)
+	end := start.Add(FirstDecisionsTimeout)
+	is.True(!c.Next().After(end))
+	is.True(hasAction(c.Tick(end), ResetCaller))
+	is.True(c.Next().After(end))
+}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -77,6 +77,10 @@
 	// preConfigTimeout is how long packets are buffered for the first configuration. After
 	// that time the caller retransmits.
 	preConfigTimeout = 200 * time.Millisecond
+	// FirstDecisionsTimeout is how long the first configuration from the store, and new
+	// flows if a peer's decision files are in effect, wait for the first listing of the
+	// decision files. It is requested at the start, and the store answers in 5 ms.
+	FirstDecisionsTimeout = 100 * time.Millisecond
 	// agentLossTimeout is the time without reports after which an agent is lost and no
 	// longer regarded as a possible holder of flows: packets do not reach it from here,
 	// whether its target is running or not. It is longer than any planned restart.
@@ -291,6 +295,8 @@
 	formerShares map[netip.AddrPort][]Share // shares of routes in earlier configurations
 	started      time.Time
 	random       uint64
+	// decisionsListed is set once the store has listed the decision files.
+	decisionsListed bool
 
 	flows             map[model.Flow]*flow
 	sentOpenings      []flowOpening // awaiting an answer, by openingAt
--- a/internal/steer/ticks.go
+++ b/internal/steer/ticks.go
@@ -10,6 +10,9 @@
 	if now.Sub(c.unconfirmedSince) >= confirmTimeout {
 		c.confirmConfig(now)
 	}
+	if len(c.preConfig) > 0 && c.base != nil {
+		c.replayPreConfig(now)
+	}
 	c.retryOverdueOpenings(now)
 	c.advanceLookups(now)
 	c.checkListingQuery(now)
@@ -135,6 +138,9 @@
 	if !c.unconfirmedSince.IsZero() {
 		next = minTime(next, c.unconfirmedSince.Add(confirmTimeout))
 	}
+	if end := c.started.Add(FirstDecisionsTimeout); len(c.preConfig) > 0 && c.lastTick.Before(end) {
+		next = minTime(next, end)
+	}
 	if c.listingWanted {
 		next = minTime(next, c.lastListing.Add(minListInterval))
 	}
