front: a connection that was not opened because the process was paused is tried again

Callers got 503 target_unreachable from agents whose targets were running, when the agent's process had not run for a second or more. TestFaultStalledFeedIsReported shows it as "not in time: all feeds are open", because a refused feed is not sent again.

Cause: an attempt to connect to the target or to another agent ends after a second. If the process is paused meanwhile, the attempt times out although the kernel has connected, and the request is moved or refused as if the target accepted none.

Change: an attempt that took 50 ms longer than its timeout says nothing about the other end. It is repeated until the request ends, five times at most. A target that does not accept within a second, or refuses at once, is treated as before.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -15,10 +15,7 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 )
 
-const (
-	dialTimeout     = time.Second
-	copyBufferBytes = 32 << 10
-)
+const copyBufferBytes = 32 << 10
 
 // result is the result of one attempt to run a request.
 type result struct {
@@ -36,7 +33,7 @@
 func newClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:        redialAfterPause((&net.Dialer{Timeout: dialTimeout}).DialContext, time.Now),
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 		},
