balancers: reports are ordered by the hello that they answer

Cause: balancers took a report for outdated if its incarnation was lower than the last one. An incarnation is the time of day at the start of the process. Agents that start while a clock is ahead and again after it was corrected have a lower one, so all their reports are ignored, also hours later. All balancers then take the agent for lost and leave it out as a possible holder of flows, and the lookups of its flows prove that no target holds them.

Evidence: 'started' with incarnation ...382533 and then ...368030, 'lost' with no 'regained'; report_ignored names both.

Change: hellos to agents have an ID that increases within the balancer's process and starts at random, and a report names the last hello of its receiver. A process that names a hello ran when it was sent; of two processes at an address the one that names the later hello is the later one. A report that names none, from an agent known under another incarnation, is answered with a hello, so a restarted agent is heard one round trip later. Agents of an earlier build name no hello and are ordered as before.

--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -213,7 +213,7 @@
 	notHeld           map[model.Flow]time.Time // flows whose probe the target bounced
 	deliveredOpenings []deliveredPacket
 	deliveredProbes   []deliveredPacket
-	balancers         map[netip.AddrPort]time.Time // last hello of each
+	balancers         map[netip.AddrPort]receivedHello // last hello of each
 	reportSequence    uint64
 	lastIdleSweep     time.Time
 	load              load
@@ -224,6 +224,12 @@
 	actions           []Action
 }
 
+// receivedHello is the last hello that was received from a balancer.
+type receivedHello struct {
+	at time.Time
+	id uint64
+}
+
 // deliveredPacket is a delivered packet to which the target may still react.
 type deliveredPacket struct {
 	flow        model.Flow
@@ -235,7 +241,7 @@
 func New(now time.Time, opts Options) *Core {
 	return &Core{
 		opts: opts, started: now, targetLastSeen: now, mayHoldUnseen: !opts.FirstStart,
-		flows: make(map[model.Flow]*flow), notHeld: make(map[model.Flow]time.Time), balancers: make(map[netip.AddrPort]time.Time),
+		flows: make(map[model.Flow]*flow), notHeld: make(map[model.Flow]time.Time), balancers: make(map[netip.AddrPort]receivedHello),
 		load: load{updated: now},
 	}
 }
@@ -281,9 +287,9 @@
 			c.log(Entry{Event: "balancer_heard", Reason: from.String()})
 		}
 		c.recordHello(now, m.Hello)
-		c.balancers[from] = now
+		c.balancers[from] = receivedHello{at: now, id: m.Hello.ID}
 		c.reportSequence++
-		r := c.report(now)
+		r := c.reportTo(now, from)
 		if !known {
 			r.Balancers = c.listBalancers()
 		}
@@ -325,10 +331,10 @@
 	if now.Sub(c.lastIdleSweep) >= idleSweepInterval {
 		c.lastIdleSweep = now
 		c.removeIdleFlows(now)
-		for a, lastHello := range c.balancers {
-			if now.Sub(lastHello) > balancerTimeout {
+		for a, last := range c.balancers {
+			if now.Sub(last.at) > balancerTimeout {
 				delete(c.balancers, a)
-				c.log(Entry{Event: "balancer_lost", Reason: a.String(), Age: now.Sub(lastHello)})
+				c.log(Entry{Event: "balancer_lost", Reason: a.String(), Age: now.Sub(last.at)})
 			}
 		}
 	}
--- a/internal/passthrough/report.go
+++ b/internal/passthrough/report.go
@@ -14,7 +14,7 @@
 	c.reportedDiscoverable = c.discoverable(now)
 	c.reportSequence++
 	for _, a := range c.sortedBalancers() {
-		c.send(a, steerwire.Message{Kind: steerwire.KindReport, Report: c.report(now)})
+		c.send(a, steerwire.Message{Kind: steerwire.KindReport, Report: c.reportTo(now, a)})
 	}
 }
 
@@ -64,12 +64,16 @@
 // Report returns a report for balancers from which no hello has been received.
 func (c *Core) Report(now time.Time) steerwire.Report {
 	c.reportSequence++
-	return c.report(now)
+	return c.reportTo(now, netip.AddrPort{})
 }
 
-func (c *Core) report(now time.Time) steerwire.Report {
+// reportTo returns a report for a balancer. It names the balancer's last hello, by which
+// the balancer orders the reports of successive processes of the agent.
+func (c *Core) reportTo(now time.Time, to netip.AddrPort) steerwire.Report {
+	helloID := c.balancers[to].id
 	r := steerwire.Report{
-		Node: c.opts.Node, Incarnation: c.opts.Incarnation, Sequence: c.reportSequence, DataCentre: c.opts.DataCentre,
+		HelloID: &helloID,
+		Node:    c.opts.Node, Incarnation: c.opts.Incarnation, Sequence: c.reportSequence, DataCentre: c.opts.DataCentre,
 		Service: c.opts.Service, State: c.state, Slots: c.target.Slots,
 		BusyCenti: int(c.load.average(now)*100 + 0.5), Flows: len(c.flows), TargetStartMillis: c.target.StartMillis,
 		FailingCenti: int(c.outcomes.FailureRate(now)*100 + 0.5),
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -304,6 +304,8 @@
 	lastAgentHello    time.Time                       // when hellos to agents were last sent
 	lastFirstHello    time.Time                       // when hellos to agents without a report were last sent
 	unreportedAgents  int                             // agents that these went to
+	firstHelloID      uint64                          // of a hello to an agent
+	nextHelloID       uint64
 	lastLossCheck     time.Time
 	lastPeerHello     time.Time                                 // when hellos to balancers were last sent
 	advertiseSoon     bool                                      // an agent is new or lost; not sent to balancers yet
@@ -339,6 +341,8 @@
 		transfers:   shaping.New[transferPacket, delayedPacket](options.LinkBitsPerSecond),
 		resetQueues: make(map[model.ServiceName]*pacing.Queue[model.Flow]), pendingReset: make(map[model.Flow]pendingReset),
 	}
+	c.firstHelloID = c.nextRandom()>>1 + 1
+	c.nextHelloID = c.firstHelloID
 	return c
 }
 
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -25,6 +25,7 @@
 	endedAt        time.Time // when it reported that it ends with its target; zero if it may hold flows
 	report         steerwire.Report
 	lastHello      time.Time       // when a hello was last sent to it
+	answeredHello  uint64          // highest ID of a hello that a report named, 0 for none
 	override       config.Override // from decision files
 	lastReport     time.Time       // when the last report was received
 	firstReport    time.Time       // when the first report of its incarnation was received
@@ -190,6 +191,8 @@
 	t.lastHello = now
 	m := c.helloMessage(now, false)
 	m.Hello.Unlisted = c.unlisted(now, t)
+	m.Hello.ID = c.nextHelloID
+	c.nextHelloID++
 	c.send(t.addr, m)
 }
 
@@ -257,11 +260,14 @@
 	for _, a := range r.Balancers {
 		c.addPeer(now, a, false)
 	}
-	if t.reported && (r.Incarnation < t.report.Incarnation || r.Incarnation == t.report.Incarnation && r.Sequence <= t.report.Sequence) {
+	if !c.laterReport(t, r) {
 		c.count(CounterDropped, "old_report")
-		c.logIgnoredReport(now, t, r)
+		c.handleIgnoredReport(now, t, r)
 		return
 	}
+	if c.sentHello(r.HelloID) {
+		t.answeredHello = max(t.answeredHello, *r.HelloID)
+	}
 	old := t.report
 	if !t.reported || old.State != r.State || old.Incarnation != r.Incarnation || old.Service != r.Service {
 		c.log(Entry{Event: "target", Service: r.Service, Target: from, Reason: r.State.String(), Age: now.Sub(t.lastReport), Detail: r.Slots, Incarnation: r.Incarnation})
@@ -293,10 +299,38 @@
 	}
 }
 
-// logIgnoredReport logs that the reports of another incarnation than the known one are
-// ignored, at most once in ignoredReportLogInterval.
-func (c *Core) logIgnoredReport(now time.Time, t *target, r steerwire.Report) {
-	if r.Incarnation == t.report.Incarnation || now.Sub(t.lastIgnored) < ignoredReportLogInterval {
+// laterReport reports whether a report is later than the last one. Incarnations do not
+// order the processes of an agent, because the time of day may go back between two starts.
+// A process that names a hello was running when that hello was sent, so of two processes
+// the one that names the later hello is the later one.
+func (c *Core) laterReport(t *target, r steerwire.Report) bool {
+	switch {
+	case !t.reported:
+		return true
+	case c.sentHello(r.HelloID) && *r.HelloID > t.answeredHello:
+		return true
+	case r.Incarnation == t.report.Incarnation:
+		return r.Sequence > t.report.Sequence
+	default:
+		return r.HelloID == nil && r.Incarnation > t.report.Incarnation
+	}
+}
+
+// sentHello reports whether this process has sent the hello that a report names.
+func (c *Core) sentHello(id *uint64) bool {
+	return id != nil && *id >= c.firstHelloID && *id < c.nextHelloID
+}
+
+// handleIgnoredReport sends a hello to an agent that may have restarted: its next report
+// names that hello. The log has a line at most once in ignoredReportLogInterval.
+func (c *Core) handleIgnoredReport(now time.Time, t *target, r steerwire.Report) {
+	if r.Incarnation == t.report.Incarnation {
+		return
+	}
+	if now.Sub(t.lastHello) >= minPeerHelloInterval {
+		c.greet(now, t)
+	}
+	if now.Sub(t.lastIgnored) < ignoredReportLogInterval {
 		return
 	}
 	t.lastIgnored = now
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -210,6 +210,9 @@
 	DecisionsEpoch uint64 `cbor:"16,keyasint,omitzero"`
 	// Unlisted is set if the store did not list the receiving agent lately. Sent to agents.
 	Unlisted bool `cbor:"15,keyasint,omitzero"`
+	// ID increases with each hello of the sending process to an agent. The first one is
+	// random, so that the IDs of successive processes differ.
+	ID uint64 `cbor:"17,keyasint,omitzero"`
 }
 
 // ListingQuery asks a store reader for a listing that starts after the receipt of the query.
@@ -272,6 +275,9 @@
 	// Ended is set in the last report of an agent whose target has exited. No flow is left
 	// at the target, and this incarnation of the agent reports no more.
 	Ended bool `cbor:"15,keyasint,omitzero"`
+	// HelloID is the ID of the receiver's last hello, 0 if the agent has received none. It
+	// is nil in the reports of agents of an earlier release.
+	HelloID *uint64 `cbor:"16,keyasint,omitempty"`
 }
 
 // Message is a decoded message. Only the field of its kind is set.
