--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +12,6 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
 	"github.com/bulrushshelf/bulrushshelf/internal/steer"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
@@ -41,35 +39,6 @@
 	fetchTimeout = 800 * time.Millisecond
 )
 
-// agentsPrefix is the path prefix of the agents' objects in the store.
-const agentsPrefix = "agents/"
-
-// agentObject is an agent's object in the store.
-type agentObject struct {
-	Peer netip.AddrPort `json:"peer"`
-	// Incarnation makes the object of each start differ, so that a delayed removal by a
-	// previous incarnation fails on the version.
-	Incarnation model.Incarnation `json:"incarnation"`
-}
-
-// removal is the order to remove an agent's object. The version makes it fail if the
-// agent has registered again since the core decided.
-type removal struct {
-	agent netip.AddrPort
-	at    storeclient.Position
-}
-
-// listedAgent is an agent's object in a listing.
-type listedAgent struct {
-	at          storeclient.Position // version of the object in the epoch of the listing
-	incarnation model.Incarnation
-}
-
-// agentPath returns the path of an agent's object.
-func agentPath(peer netip.AddrPort) string {
-	return agentsPrefix + strings.ReplaceAll(peer.String(), ":", "-")
-}
-
 // BalancerOptions configures a balancer.
 type BalancerOptions struct {
 	Core       steer.Options
@@ -445,31 +414,6 @@
 	return nil
 }
 
-// readAgents returns the listed agents and their objects. The listing may be stale
-// unless fresh is set.
-func (b *Balancer) readAgents(ctx context.Context, fresh bool) (steer.AgentListing, map[netip.AddrPort]listedAgent, error) {
-	list := b.opts.Store.ListStale
-	if fresh {
-		list = b.opts.Store.List
-	}
-	l, err := list(ctx, agentsPrefix)
-	if err != nil {
-		return steer.AgentListing{}, nil, err
-	}
-	out := steer.AgentListing{Epoch: l.Position.Epoch}
-	listed := make(map[netip.AddrPort]listedAgent, len(l.Objects))
-	for _, o := range l.Objects {
-		var a agentObject
-		if json.Unmarshal(o.Content, &a) != nil || !a.Peer.IsValid() {
-			b.opts.Metrics.Count(CounterMalformed, "agent_object", 1) // skipped; the other objects are used
-			continue
-		}
-		out.Agents = append(out.Agents, a.Peer)
-		listed[a.Peer] = listedAgent{storeclient.Position{Epoch: l.Position.Epoch, Revision: o.Version}, a.Incarnation}
-	}
-	return out, listed, nil
-}
-
 func errText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -93,9 +93,6 @@
 	// maxStartSpread is the maximum time between the starts of a deployment's processes
 	// after all of them were killed or lost power.
 	maxStartSpread = 300 * time.Millisecond
-	// ignoredReportLogInterval is the minimum interval between log lines about ignored reports
-	// of an agent.
-	ignoredReportLogInterval = time.Second
 	// minListInterval is the minimum interval between the store listings that confirm resets.
 	minListInterval = 100 * time.Millisecond
 )
