passnode: an agent's object is removed only by the incarnation that wrote it, or unchanged for a minute

What would happen: a running agent loses its object in the store, so balancers that start do not find it until a hello tells it to write again, and their listings prove resets of flows that its target holds.

Cause: a balancer that removes the object of an ended agent kept it if the listed incarnation was higher than the ended one. The other way round, an object that an earlier process with a higher incarnation had left behind was kept for ever.

Change: an object is removed if the ended process wrote it, and otherwise only if no listing has shown a change of it for a minute, which covers processes that have started and not reported yet.

Evidence: TestObjectOfALowerIncarnationIsKept failed before the change of the comparison (a removal was queued) and passes with it; passnode and steer pass.

--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -231,12 +231,13 @@
 			default: // a listing is already due
 			}
 		case steer.RemoveAgent:
-			if a.Incarnation != 0 && b.listed[a.To].incarnation > a.Incarnation {
-				b.logWriter.enqueue(now, "agent_object_kept", "agent", a.To.String(), "reason", "later_incarnation")
+			l := b.listed[a.To]
+			if !l.removable(now, a.Incarnation) {
+				b.logWriter.enqueue(now, "agent_object_kept", "agent", a.To.String(), "reason", "other_incarnation", "incarnation", l.incarnation)
 				continue
 			}
 			select {
-			case b.removeRequests <- removal{a.To, b.listed[a.To].at}:
+			case b.removeRequests <- removal{a.To, l.at}:
 			default: // the core requests the removal again later
 			}
 		case steer.Count:
@@ -383,7 +384,7 @@
 			}
 			agentsFound = agentsFound || len(listing.Agents) > 0
 			_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
-				b.listed = objects
+				b.setListed(now, objects)
 				b.execute(now, b.core.SetAgents(now, listing))
 			})
 		}
--- a/internal/passnode/objects.go
+++ b/internal/passnode/objects.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/steer"
@@ -33,6 +34,30 @@
 type listedAgent struct {
 	at          storeclient.Position // version of the object in the epoch of the listing
 	incarnation model.Incarnation
+	since       time.Time // when a listing first had this version
+}
+
+// orphanedAfter is the time after which an object that has not changed is not of a process
+// that has just started and not reported yet: all agents have reported by then.
+const orphanedAfter = time.Minute
+
+// setListed replaces the listed objects.
+func (b *Balancer) setListed(now time.Time, listed map[netip.AddrPort]listedAgent) {
+	for a, l := range listed {
+		l.since = now
+		if before, ok := b.listed[a]; ok && before.at == l.at {
+			l.since = before.since
+		}
+		listed[a] = l
+	}
+	b.listed = listed
+}
+
+// removable reports whether an agent's object may be removed after its process with the
+// incarnation has ended: the process itself wrote it, or an earlier one. Incarnations do
+// not order processes, because the time of day may go back between two starts.
+func (l listedAgent) removable(now time.Time, incarnation model.Incarnation) bool {
+	return l.incarnation == incarnation || !l.since.IsZero() && now.Sub(l.since) >= orphanedAfter
 }
 
 // agentPath returns the path of an agent's object.
@@ -60,7 +85,7 @@
 			continue
 		}
 		out.Agents = append(out.Agents, a.Peer)
-		listed[a.Peer] = listedAgent{storeclient.Position{Epoch: l.Position.Epoch, Revision: o.Version}, a.Incarnation}
+		listed[a.Peer] = listedAgent{at: storeclient.Position{Epoch: l.Position.Epoch, Revision: o.Version}, incarnation: a.Incarnation}
 	}
 	return out, listed, nil
 }
--- a/internal/passnode/removal_test.go
+++ b/internal/passnode/removal_test.go
@@ -98,6 +98,33 @@
 	is.Equal(<-b.removeRequests, removal{agent, storeclient.Position{Epoch: 1, Revision: 9}})
 }
 
+// Guards against the removal of a running agent's object whose incarnation is lower than the
+// one of the ended agent, because its clock went back between both starts.
+func TestObjectOfALowerIncarnationIsKept(t *testing.T) {
+	is := is.New(t)
+	b := newTestBalancer(t)
+	agent := netip.MustParseAddrPort("10.1.0.1:7000")
+	now := time.Now()
+	list := func(at time.Duration, revision uint64) {
+		b.setListed(now.Add(at), map[netip.AddrPort]listedAgent{agent: {at: storeclient.Position{Epoch: 1, Revision: revision}, incarnation: 1}})
+	}
+	list(0, 9)
+	b.execute(now, []steer.Action{{Kind: steer.RemoveAgent, To: agent, Incarnation: 2}})
+	is.Equal(len(b.removeRequests), 0)
+
+	// An object that an earlier process left behind is removed after a minute.
+	list(59*time.Second, 9)
+	b.execute(now.Add(59*time.Second), []steer.Action{{Kind: steer.RemoveAgent, To: agent, Incarnation: 2}})
+	is.Equal(len(b.removeRequests), 0)
+	list(61*time.Second, 9)
+	b.execute(now.Add(61*time.Second), []steer.Action{{Kind: steer.RemoveAgent, To: agent, Incarnation: 2}})
+	is.Equal(<-b.removeRequests, removal{agent, storeclient.Position{Epoch: 1, Revision: 9}})
+
+	list(62*time.Second, 10) // written again
+	b.execute(now.Add(62*time.Second), []steer.Action{{Kind: steer.RemoveAgent, To: agent}})
+	is.Equal(len(b.removeRequests), 0)
+}
+
 // Guards against the removal of a running agent's object by a version that the store has
 // assigned again after it was restored from a copy.
 func TestFaultStoreIsRestoredBeforeARemoval(t *testing.T) {
