steer, passthrough: a lookup goes on until a target keeps the packet

Cause: agents that started after their targets are probed one after the other, and the next one got the packet only when the one before returned it. If the agent that had the probe stopped, or the holder's agent was away when its turn came, the sequence ended, after three or more targets had had the packet; the next packet of the caller started it again. Flows that were being probed also served as hints for other balancers, which then sent their packets to the wrong target.

Evidence: traces of three flows, such as 100.66.0.5:1050: returned by four targets at 22.94 s, waiting for an agent that restarts until 24.0 s, its own target reached at 27.4 s.

Change: a lookup stays a lookup while it probes. The first packet is kept; without a confirmation (Opened, from agents) after 120 ms the agents are queried again, and rounds are repeated for 3 s until a target holds the flow or all deny it. A packet that an agent returns is kept in the same way. TestProbesStayInTheService expects one query in place of three after both probes were returned: their targets' answer is final now, as that of other agents.

Tried and dropped: two probes at most while an agent has not answered.

--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -171,7 +171,7 @@
 			c.send(f.balancer, steerwire.Message{Kind: steerwire.KindOpened, Opened: steerwire.Opened{Flow: s.Flow}})
 		}
 	case f.phase == phaseProbing:
-		f.phase = phaseEstablished
+		c.confirmProbe(s.Flow, f)
 	}
 	if f != nil {
 		f.lastSeen = now
@@ -259,12 +259,18 @@
 		}
 		n++
 		if f := c.flows[p.flow]; f != nil && f.phase == phaseProbing && f.createdAt.Equal(p.deliveredAt) {
-			f.phase = phaseEstablished
+			c.confirmProbe(p.flow, f)
 		}
 	}
 	c.deliveredProbes = append(c.deliveredProbes[:0], c.deliveredProbes[n:]...)
 }
 
+// confirmProbe marks a flow as held and notifies the balancer that sent the probe.
+func (c *Core) confirmProbe(key model.Flow, f *flow) {
+	f.phase = phaseEstablished
+	c.send(f.balancer, steerwire.Message{Kind: steerwire.KindOpened, Opened: steerwire.Opened{Flow: key}})
+}
+
 // removeIdleFlows removes flows that are closed, idle or were never established.
 func (c *Core) removeIdleFlows(now time.Time) {
 	for k, f := range c.flows {
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -230,6 +230,34 @@
 	is.Equal(delivered(forward(c, ms(61), request(3))), 1)
 }
 
+// Guards against a balancer that is not told that a target has kept a probe, and goes on
+// searching for the holder.
+func TestKeptProbeIsConfirmed(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		keep func(c *Core) []Action
+	}{
+		{"the target answers", func(c *Core) []Action { return c.FromTarget(ms(20), response(1), nil) }},
+		{"the target does not bounce it", func(c *Core) []Action { return c.Tick(ms(60)) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCore(false)
+			c.HandleHeartbeat(start, heartbeat(7))
+			forward(c, start, request(1))
+			confirmed := 0
+			for _, a := range test.keep(c) {
+				if a.Kind == SendMessage && a.Message.Kind == steerwire.KindOpened {
+					is.Equal(a.To, balancer)
+					is.Equal(a.Message.Opened.Flow, flowOf(1))
+					confirmed++
+				}
+			}
+			is.Equal(confirmed, 1)
+		})
+	}
+}
+
 // Guards against a reset of a flow that was only assumed to be held. A target that
 // bounces a probe after probeTimeout has not lost the flow.
 func TestLateBounceIsNotReportedLost(t *testing.T) {
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -220,6 +220,10 @@
 		c.forward(s.Flow, f.target, f.service, r.Packet)
 		return
 	}
+	if l := c.lookups[s.Flow]; f == nil && l != nil && l.misplaced && !l.idle {
+		c.handleReturnedProbe(now, s.Flow, l, from)
+		return
+	}
 	if f != nil {
 		f.removeTried(from)
 		if f.ntried > 0 {
@@ -231,12 +235,19 @@
 		delete(c.flows, s.Flow)
 	}
 	c.lookUpHolder(now, s, r.Packet, false)
+	if l := c.lookups[s.Flow]; l != nil {
+		l.misplaced = true
+	}
 }
 
 // handleOpened records that a target answered an opening packet.
 func (c *Core) handleOpened(now time.Time, from netip.AddrPort, o steerwire.Opened) {
 	f := c.flows[o.Flow]
-	if f == nil || f.opened {
+	if f == nil {
+		c.handleConfirmedProbe(now, from, o)
+		return
+	}
+	if f.opened {
 		return
 	}
 	if f.unanswered {
--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -29,6 +29,13 @@
 	finalRound    bool             // the current round decides on a reset
 	incomplete    bool             // a possible holder was not queried; another round follows
 	awaitingHints []netip.AddrPort // balancers with an outstanding answer; agents are queried after them
+	// probing is the agent that was sent a probe and has neither returned nor confirmed it,
+	// toProbe those that follow.
+	probing netip.AddrPort
+	toProbe []netip.AddrPort
+	// misplaced is set once the first buffered packet was sent to an agent whose target may
+	// not hold the flow. It is kept until the holder is found.
+	misplaced bool
 }
 
 // lookUpHolder buffers a packet of a flow and looks up the flow's holder. It queries all
@@ -146,7 +153,7 @@
 			l.unsure = append(l.unsure, from)
 		}
 	}
-	if len(l.unanswered) == 0 {
+	if len(l.unanswered) == 0 && !l.probing.IsValid() {
 		c.concludeRound(now, answer.Flow, l)
 	}
 }
@@ -161,7 +168,11 @@
 	c.flows[key] = f
 	c.observe(LatencyLookup, reason, now.Sub(l.startedAt))
 	c.log(Entry{Event: "found", Flow: key, Service: f.service, Target: target, Reason: reason, Version: c.version(), Age: now.Sub(l.phaseStart), Detail: l.attempts})
-	for _, p := range l.buffered {
+	buffered := l.buffered
+	if reason == "probe" {
+		buffered = buffered[1:]
+	}
+	for _, p := range buffered {
 		c.forward(key, target, f.service, p)
 	}
 }
@@ -183,6 +194,10 @@
 		c.resetUnheld(now, key, l)
 		return
 	}
+	if l.misplaced && len(l.buffered) > 0 && !l.allNotHeld && now.Sub(l.startedAt) < probedLookupPeriod {
+		l.incomplete, l.phaseStart = true, now
+		return
+	}
 	l.idle, l.phaseStart = true, now
 	l.buffered = l.buffered[:0]
 	c.count(CounterDropped, "no_holder")
@@ -255,28 +270,6 @@
 	c.listingWanted = c.listingWanted || tooRecent
 }
 
-// probe sends the first buffered packet to the first of the agents that answered Unsure;
-// the others follow if the packet is returned. Targets of services that the address has
-// never been routed to are not probed.
-func (c *Core) probe(now time.Time, key model.Flow, l *lookup) bool {
-	f := &flow{lastSeen: now, openingAt: now, ack: l.ack}
-	for _, u := range l.unsure {
-		if t := c.targets[u]; t != nil && c.routesTo(key.Dst, t.report.Service) {
-			f.addTried(u)
-		}
-	}
-	if f.ntried == 0 {
-		return false
-	}
-	f.target = f.tried[0]
-	f.service = c.targets[f.target].report.Service
-	delete(c.lookups, key)
-	c.flows[key] = f
-	c.log(Entry{Event: "probed", Flow: key, Service: f.service, Target: f.target, Version: c.version(), Detail: int(f.ntried)})
-	c.forward(key, f.target, f.service, l.buffered[0])
-	return true
-}
-
 // routesTo reports whether an address is routed to a service, in the current or an
 // earlier configuration since the start of the process.
 func (c *Core) routesTo(dst netip.AddrPort, service model.ServiceName) bool {
@@ -369,8 +362,13 @@
 	var due []model.Flow
 	for k, l := range c.lookups {
 		timeout := queryTimeout
-		if len(l.awaitingHints) > 0 {
+		switch {
+		case len(l.awaitingHints) > 0:
 			timeout = hintTimeout
+		case l.probing.IsValid():
+			timeout = probeTimeout
+		case l.incomplete && l.misplaced:
+			timeout = lookupRetryDelay
 		}
 		if now.Sub(l.phaseStart) >= timeout {
 			due = append(due, k)
@@ -382,6 +380,8 @@
 		switch {
 		case len(l.awaitingHints) > 0:
 			c.handleHintTimeout(now, k, l)
+		case l.probing.IsValid():
+			c.handleProbeTimeout(now, k, l)
 		case l.incomplete:
 			l.incomplete = false
 			c.startRound(now, k, l)
--- a/internal/steer/lookups_test.go
+++ b/internal/steer/lookups_test.go
@@ -52,7 +52,7 @@
 	is.Equal(forwardedTo(refuse(c, ms(4), agentA, data(1), steerwire.ReasonNotHeld)), []netip.AddrPort{agentB})
 	got = refuse(c, ms(5), agentB, data(1), steerwire.ReasonNotHeld)
 	is.Equal(len(forwardedTo(got)), 0)
-	is.Equal(queryCountWithBatch(c, ms(5), got), 3)
+	is.Equal(queryCountWithBatch(c, ms(5), got), 1) // agentC: the others do not hold the flow
 }
 
 // Guards against callers that wait until their deadline although no agent holds their
--- /dev/null
+++ b/internal/steer/probes_test.go
@@ -0,0 +1,79 @@
+package steer
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/segment"
+	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
+)
+
+// newProbingCore returns a core that has sent the packet of a flow to agentA as a probe.
+// agentB and agentC may hold the flow too.
+func newProbingCore(is *is.I) *Core {
+	c := newCore(agentA, agentB, agentC)
+	ready(c, start, 1, agentA, agentB, agentC)
+	c.Packet(ms(20), data(1), raw)
+	var got []Action
+	for _, a := range []netip.AddrPort{agentA, agentB, agentC} {
+		got = answer(c, ms(21), a, flowOf(1), steerwire.Unsure)
+	}
+	is.Equal(forwardedTo(got), []netip.AddrPort{agentA})
+	return c
+}
+
+func confirmProbe(c *Core, now int, from netip.AddrPort) []Action {
+	m := steerwire.Message{Kind: steerwire.KindOpened, Opened: steerwire.Opened{Flow: flowOf(1)}}
+	return c.Message(ms(now), from, m, segment.Segment{})
+}
+
+// Guards against a lookup that stops at an agent that ends while it probes its target, and
+// goes on only when the caller sends another packet.
+func TestProbesGoOnAfterAnAgentHasStopped(t *testing.T) {
+	is := is.New(t)
+	c := newProbingCore(is)
+	running := []netip.AddrPort{agentB, agentC}
+	var probed []netip.AddrPort
+	for now := 40; now <= 2000; now += 20 {
+		if now == 800 {
+			is.Equal(probed, []netip.AddrPort{agentB, agentC})
+			running = append(running, agentA) // has restarted
+		}
+		if now%200 == 0 {
+			ready(c, ms(now), uint64(now), running...)
+		}
+		got := c.Tick(ms(now))
+		if queryCount(got) > 0 {
+			for _, a := range running {
+				got = append(got, answer(c, ms(now+1), a, flowOf(1), steerwire.Unsure)...)
+			}
+		}
+		for to := forwardedTo(got); len(to) > 0; to = forwardedTo(refuse(c, ms(now+2), to[0], data(1), steerwire.ReasonNotHeld)) {
+			probed = append(probed, to...)
+		}
+	}
+	is.Equal(probed, []netip.AddrPort{agentB, agentC, agentA})
+}
+
+// Guards against packets of a flow that wait although the holder has confirmed the probe, and
+// against probes at further targets.
+func TestConfirmedProbeEndsTheLookup(t *testing.T) {
+	is := is.New(t)
+	c := newProbingCore(is)
+	is.Equal(len(forwardedTo(c.Packet(ms(22), data(1), raw))), 0)
+	is.Equal(len(forwardedTo(confirmProbe(c, 23, agentB))), 0) // not probed
+	is.Equal(forwardedTo(confirmProbe(c, 24, agentA)), []netip.AddrPort{agentA})
+	is.Equal(forwardedTo(c.Packet(ms(25), data(1), raw)), []netip.AddrPort{agentA})
+}
+
+// Guards against a wrong hint for another balancer about a flow that is being probed.
+func TestProbedAgentIsNoHint(t *testing.T) {
+	is := is.New(t)
+	c := newProbingCore(is)
+	query := steerwire.Query{Queries: []steerwire.QueryEntry{{Flow: flowOf(1)}}}
+	got := c.Message(ms(22), peerP, steerwire.Message{Kind: steerwire.KindHintQuery, Query: query}, segment.Segment{})
+	is.Equal(len(got), 1)
+	is.True(!got[0].Message.Hints.Hints[0].Target.IsValid())
+}
