steersim: random histories of faults and planned work

The simulation plays what single scenarios did not: messages that are delayed, reordered and duplicated, also across restarts; processes that are paused, with or without their steady clock; VMs that are added, removed and lost, also at addresses used before; targets that crash or are replaced; stores that are slow, away for some, stale or restored; routers that follow readiness checks by data centre; timers that follow each change of a core.

Resets and misdirected packets of open flows count as the FLOW rule says: not within 4 s of an unplanned disruption of the balancer, the holder's VM or the store, nor when the caller has given up. At the end each balancer must place flows at all ready targets and reset a flow that nobody holds.

Two events of a history may overlap on one VM.

--- a/internal/steersim/caller_test.go
+++ b/internal/steersim/caller_test.go
@@ -10,7 +10,9 @@
 
 func (s *sim) reset(b *balancer, f model.Flow) {
 	s.resets++
-	if holder := s.holders[f]; holder != nil && !holder.exited && !holder.silent {
+	s.logf("balancer %s sent a reset to %s", b.addr, f.Src)
+	s.resetBy[f] = b
+	if holder := s.holders[f]; holder != nil && !holder.exited && !holder.silent && s.counts(b, holder, f) {
 		s.failFlow(f, "balancer %s reset flow %s, which is open at a running target", b.addr, f.Src)
 	}
 	s.after(callerDelay, func() {
@@ -66,21 +68,13 @@
 	if s.rand.Float64() < s.loss {
 		return
 	}
-	var in []*balancer
-	for _, b := range s.balancers {
-		if b.inRotation {
-			in = append(in, b)
-		}
-	}
+	in := s.rotation(c.flow)
 	if len(in) == 0 {
 		return
 	}
 	b := in[c.flow.Hash()%uint64(len(in))]
-	s.after(callerDelay, func() {
-		if b.core != nil {
-			b.execute(b.core.Packet(s.now, g, s.encode(g)))
-		}
-	})
+	s.lastTaker[c.flow] = b
+	s.after(callerDelay+s.callerDelay(g), func() { b.receive(g) })
 }
 
 func (s *sim) deliverToCaller(g segment.Segment) {
--- a/internal/steersim/clocks_test.go
+++ b/internal/steersim/clocks_test.go
@@ -17,7 +17,7 @@
 	a.kill()
 	s.after(processRestartTime, func() {
 		a.start(false)
-		a.execute(a.core.HandleHealthCheck(s.now, passthrough.Healthy))
+		a.execute(a.core.HandleHealthCheck(s.clock(a.addr), passthrough.Healthy))
 	})
 }
 
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -86,11 +86,12 @@
 	misdirected                  map[model.Flow][]time.Time // arrivals at other targets, cleared by one at the holder
 	requestRuns                  map[string]int             // by caller and sequence number
 	log                          []string
+	faults
 }
 
 func newSim(t *testing.T, seed uint64, balancers int, services map[model.ServiceName]int) *sim {
 	s := &sim{
-		t: t, now: time.Unix(1_700_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
+		faults: newFaults(), t: t, now: time.Unix(1_700_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
 		callers: map[model.Flow]*caller{}, holders: map[model.Flow]*target{},
 		misdirected: map[model.Flow][]time.Time{}, requestRuns: map[string]int{}, port: 1024,
 		cut:      func(netip.AddrPort, netip.AddrPort) bool { return false },
@@ -137,12 +138,12 @@
 	s.log = append(s.log, fmt.Sprintf("%8.3f ", s.now.Sub(s.started).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// failFlow fails the test and logs only the entries of one flow.
+// failFlow fails the test and logs only the faults and the entries of one flow.
 func (s *sim) failFlow(f model.Flow, format string, args ...any) {
 	s.t.Helper()
 	var entries []string
 	for _, l := range s.log {
-		if strings.Contains(l, f.Src.String()) {
+		if strings.Contains(l, f.Src.String()) || strings.Contains(l, " fault: ") {
 			entries = append(entries, l)
 		}
 	}
@@ -152,7 +153,7 @@
 
 func (s *sim) fail(format string, args ...any) {
 	s.t.Helper()
-	for _, l := range s.log[max(0, len(s.log)-30):] {
+	for _, l := range s.log[max(0, len(s.log)-60):] {
 		s.t.Log(l)
 	}
 	s.t.Fatalf("%.3f s: "+format, append([]any{s.now.Sub(s.started).Seconds()}, args...)...)
@@ -180,37 +181,42 @@
 
 // send transmits a message between processes.
 func (s *sim) send(from, to netip.AddrPort, m steerwire.Message) {
-	if s.rand.Float64() < s.loss || s.cut(from, to) {
+	if s.rand.Float64() < s.loss || s.cut(from, to) || s.drop != nil && s.drop(from, to, m) {
 		return
 	}
 	b, err := steerwire.Append(nil, m)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.after(linkDelay(from, to), func() {
-		m, err := steerwire.Decode(b)
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		for _, x := range s.balancers {
-			if x.addr == to && x.core != nil {
-				var g segment.Segment
-				if m.Kind == steerwire.KindRefuse {
-					g = s.decode(m.Refuse.Packet)
-				}
-				x.execute(x.core.Message(s.now, from, m, g))
+	for _, extra := range s.copies() {
+		s.after(linkDelay(from, to)+extra, func() { s.whenAwake(to, func() { s.deliver(from, to, b) }) })
+	}
+}
+
+// deliver hands a message to the process that now has the address.
+func (s *sim) deliver(from, to netip.AddrPort, b []byte) {
+	m, err := steerwire.Decode(b)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for _, x := range s.balancers {
+		if x.addr == to && x.core != nil {
+			var g segment.Segment
+			if m.Kind == steerwire.KindRefuse {
+				g = s.decode(m.Refuse.Packet)
 			}
+			x.execute(x.core.Message(s.clock(to), from, m, g))
 		}
-		for _, x := range s.agents {
-			if x.addr == to && x.core != nil {
-				var g segment.Segment
-				if m.Kind == steerwire.KindForward {
-					g = s.decode(m.Forward.Packet)
-				}
-				x.execute(x.core.Message(s.now, from, m, g))
+	}
+	for _, x := range s.agents {
+		if x.addr == to && x.core != nil {
+			var g segment.Segment
+			if m.Kind == steerwire.KindForward {
+				g = s.decode(m.Forward.Packet)
 			}
+			x.execute(x.core.Message(s.clock(to), from, m, g))
 		}
-	})
+	}
 }
 
 type balancer struct {
@@ -222,6 +228,8 @@
 	lastStoreAnswer time.Time
 	lastRead        *steer.Config // last configuration read from the store
 	lastListing     time.Time     // of the agents, as a reader
+	removed         bool          // for good
+	timer           timer
 }
 
 func (s *sim) addBalancer() *balancer {
@@ -234,15 +242,13 @@
 
 func (b *balancer) start() {
 	s := b.s
-	b.core = steer.New(s.now, steer.Options{
+	b.core = steer.New(s.clock(b.addr), steer.Options{
 		Node: model.NodeID("b" + b.addr.String()), Incarnation: model.Incarnation(s.timeOfDay(b.addr)),
 		DataCentre: dataCentreOf(b.addr), Seed: s.rand.Uint64(), FlowTTL: time.Minute, Peer: b.addr,
 	})
-	b.core.AddSeeds(s.now, []netip.AddrPort{s.balancers[0].addr})
+	b.core.AddSeeds(s.clock(b.addr), s.seeds())
 	if !s.storeCut(b.addr) {
-		b.lastRead = s.config
-		b.execute(b.core.SetConfig(s.now, s.config))
-		b.execute(b.core.SetAgents(s.now, steer.AgentListing{Agents: s.listed(), Epoch: s.epoch}))
+		b.readStore(b.core)
 	}
 	b.lastStoreAnswer = s.now
 	b.tick(b.core)
@@ -255,23 +261,23 @@
 	if b.core != core {
 		return
 	}
-	if core.ReadsStore(s.now) {
+	if core.ReadsStore(s.clock(b.addr)) {
 		if !s.storeCut(b.addr) {
 			b.lastStoreAnswer = s.now
-			b.execute(core.SetStoreEpoch(s.now, s.epoch))
+			b.execute(core.SetStoreEpoch(s.clock(b.addr), s.epoch))
 			if s.now.Sub(b.lastListing) >= readerListInterval {
 				b.lastListing = s.now
-				b.execute(core.SetAgents(s.now, steer.AgentListing{Agents: s.listed(), Epoch: s.epoch}))
+				b.execute(core.SetAgents(s.clock(b.addr), steer.AgentListing{Agents: s.staleListing(), Epoch: s.epoch}))
 			}
 			if b.lastRead != s.config {
 				s.watches++
 				b.lastRead = s.config
-				b.execute(core.SetConfig(s.now, s.config))
+				b.execute(core.SetConfig(s.clock(b.addr), s.config))
 			}
 		}
 		core.SetStoreReachable(s.now.Sub(b.lastStoreAnswer) < storeFailureTime)
 	}
-	s.after(storePoll, func() { b.watch(core) })
+	s.after(storePoll, func() { s.whenAwake(b.addr, func() { b.watch(core) }) })
 }
 
 // fetchConfig plays the transfer of a configuration from another balancer.
@@ -280,7 +286,7 @@
 	s.after(3*linkDelay(b.addr, from), func() {
 		for _, p := range s.balancers {
 			if p.addr == from && p.core != nil && p.core.Config() != nil && b.core == core && !s.cut(from, b.addr) && !s.cut(b.addr, from) {
-				b.execute(core.SetPeerConfig(s.now, p.core.Config()))
+				b.execute(core.SetPeerConfig(s.clock(b.addr), p.core.Config()))
 			}
 		}
 	})
@@ -297,19 +303,27 @@
 	return out
 }
 
-func (b *balancer) kill() { b.core, b.inRotation = nil, false }
+func (b *balancer) kill() {
+	b.core, b.inRotation = nil, b.inRotation && b.s.probes != nil
+	b.timer = timer{}
+	b.s.wake(b.addr, false)
+}
 
 func (b *balancer) tick(core *steer.Core) {
 	if b.core != core {
 		return
 	}
-	b.execute(core.Tick(b.s.now))
-	b.inRotation, _ = core.Ready(b.s.now)
-	b.s.after(max(core.Next().Sub(b.s.now), time.Millisecond), func() { b.tick(core) })
+	now := b.s.clock(b.addr)
+	b.execute(core.Tick(now))
+	if b.s.probes == nil {
+		b.inRotation, _ = core.Ready(now)
+	}
+	b.timer.schedule(b.s, b.addr, core.Next(), func() { b.tick(core) })
 }
 
 func (b *balancer) execute(actions []steer.Action) {
 	s := b.s
+	defer b.timer.advance(b.s, b.addr, func() time.Time { return b.core.Next() })
 	for _, a := range actions {
 		switch a.Kind {
 		case steer.SendForward:
@@ -321,19 +335,22 @@
 		case steer.ResetCaller:
 			s.reset(b, a.Flow)
 		case steer.ListAgents:
-			core, began := b.core, s.now
+			core, began := b.core, s.clock(b.addr)
 			if s.storeCut(b.addr) {
 				continue
 			}
 			s.listings++
-			s.after(storeDelay, func() {
+			s.after(s.storeTime(), func() {
 				if b.core == core {
-					b.execute(core.SetAgents(s.now, steer.AgentListing{Agents: s.listed(), AsOf: began, Epoch: s.epoch}))
+					b.execute(core.SetAgents(s.clock(b.addr), steer.AgentListing{Agents: s.listed(), AsOf: began, Epoch: s.epoch}))
 				}
 			})
+		case steer.RemoveAgent:
+			s.removeObject(b, a)
 		case steer.FetchConfig:
 			b.fetchConfig(a.To)
 		case steer.Log:
+			s.recordPlaced(b.addr, a.Entry)
 			s.logf("balancer %s %s flow=%s target=%s reason=%s n=%d", b.addr, a.Entry.Event, a.Entry.Flow.Src, a.Entry.Target, a.Entry.Reason, a.Entry.Detail)
 		}
 	}
@@ -349,6 +366,12 @@
 	core   *passthrough.Core
 	target *target
 	listed bool
+	// registers is set if the agent writes its object at each start, with retries.
+	registers         bool
+	incarnation       model.Incarnation
+	objectIncarnation model.Incarnation // of the process that wrote the object
+	removed           bool              // for good
+	timer             timer
 }
 
 func (s *sim) addAgent(service model.ServiceName, firstStart bool) *agent {
@@ -367,15 +390,18 @@
 
 func (a *agent) start(firstStart bool) {
 	s := a.s
-	a.core = passthrough.New(s.now, passthrough.Options{
-		Node: model.NodeID("a" + a.addr.String()), Incarnation: model.Incarnation(s.timeOfDay(a.addr)), DataCentre: dataCentreOf(a.addr),
-		Service: a.target.service, HeartbeatInterval: heartbeatInterval, FlowIdleTimeout: time.Minute, FirstStart: firstStart, FullSegment: 1200,
+	a.incarnation = model.Incarnation(s.timeOfDay(a.addr))
+	a.core = passthrough.New(s.clock(a.addr), passthrough.Options{
+		Node: model.NodeID("a" + a.addr.String()), Incarnation: a.incarnation, DataCentre: dataCentreOf(a.addr),
+		Service: a.target.service, HeartbeatInterval: heartbeatInterval, FlowIdleTimeout: s.flowIdleTimeout, FirstStart: firstStart, FullSegment: 1200,
 	})
 	a.tick(a.core)
-	if core := a.core; a.listed {
+	if core := a.core; a.listed || a.registers {
 		s.after(storeDelay, func() {
-			if a.core == core {
-				a.execute(core.Registered(s.now, s.epoch))
+			if a.core == core && a.registers {
+				a.register(core)
+			} else if a.core == core {
+				a.execute(core.Registered(s.clock(a.addr), s.epoch))
 			}
 		})
 	}
@@ -388,36 +414,44 @@
 	if a.core != core {
 		return
 	}
-	if core.AdvertisesToSeeds(s.now) && len(s.balancers) > 0 {
-		s.send(a.addr, s.balancers[0].addr, steerwire.Message{Kind: steerwire.KindReport, Report: core.Report(s.now)})
+	if core.AdvertisesToSeeds(s.clock(a.addr)) && len(s.balancers) > 0 {
+		for _, seed := range s.seeds() {
+			s.send(a.addr, seed, steerwire.Message{Kind: steerwire.KindReport, Report: core.Report(s.clock(a.addr))})
+		}
 	}
-	s.after(advertiseInterval, func() { a.advertise(core) })
+	s.after(advertiseInterval, func() { s.whenAwake(a.addr, func() { a.advertise(core) }) })
 }
 
 // register writes the agent's object again.
 func (a *agent) register(core *passthrough.Core) {
 	s := a.s
-	s.after(storeDelay, func() {
-		if a.core == core && !s.storeCut(a.addr) {
-			a.listed = true
+	s.after(s.storeTime(), func() {
+		if a.core == core && a.registers && s.storeCut(a.addr) {
+			s.after(registerRetryInterval, func() { a.register(core) })
+		} else if a.core == core && !s.storeCut(a.addr) {
+			a.listed, a.objectIncarnation = true, a.incarnation
 			s.registrations++
-			a.execute(core.Registered(s.now, s.epoch))
+			a.execute(core.Registered(s.clock(a.addr), s.epoch))
 		}
 	})
 }
 
-func (a *agent) kill() { a.core = nil }
+func (a *agent) kill() {
+	a.core, a.timer = nil, timer{}
+	a.s.wake(a.addr, false)
+}
 
 func (a *agent) tick(core *passthrough.Core) {
 	if a.core != core {
 		return
 	}
-	a.execute(core.Tick(a.s.now))
-	a.s.after(max(core.Next().Sub(a.s.now), time.Millisecond), func() { a.tick(core) })
+	a.execute(core.Tick(a.s.clock(a.addr)))
+	a.timer.schedule(a.s, a.addr, core.Next(), func() { a.tick(core) })
 }
 
 func (a *agent) execute(actions []passthrough.Action) {
 	s := a.s
+	defer a.timer.advance(a.s, a.addr, func() time.Time { return a.core.Next() })
 	for _, x := range actions {
 		switch x.Kind {
 		case passthrough.Deliver:
--- a/internal/steersim/target_test.go
+++ b/internal/steersim/target_test.go
@@ -11,6 +11,7 @@
 
 // target is a host that terminates flows.
 type target struct {
+	agent       *agent
 	service     model.ServiceName
 	id          string
 	startMillis int64
@@ -35,7 +36,7 @@
 
 func (a *agent) newTarget(service model.ServiceName) {
 	s := a.s
-	t := &target{service: service, id: fmt.Sprintf("t%d", s.rand.Uint32()), startMillis: s.timeOfDay(a.addr), flows: map[model.Flow]*flowState{}, workTime: 25 * time.Millisecond, slots: 3}
+	t := &target{agent: a, service: service, id: fmt.Sprintf("t%d", s.rand.Uint32()), startMillis: s.timeOfDay(a.addr), flows: map[model.Flow]*flowState{}, workTime: 25 * time.Millisecond, slots: 3}
 	a.target = t
 	s.after(time.Millisecond, func() { a.sendHeartbeat(t) })
 }
@@ -44,9 +45,9 @@
 	if a.target != t || t.exited {
 		return
 	}
-	if !t.silent && a.core != nil {
+	if !t.silent && a.core != nil && !a.s.paused[a.addr] {
 		t.seq++
-		v, actions := a.core.HandleHeartbeat(a.s.now, passthrough.Heartbeat{
+		v, actions := a.core.HandleHeartbeat(a.s.clock(a.addr), passthrough.Heartbeat{
 			Target: t.id, Service: t.service, Draining: t.draining, Slots: t.slots, Sequence: t.seq, StartMillis: t.startMillis,
 		})
 		if v == passthrough.Accepted && t.draining && t.drainedAt.IsZero() {
@@ -61,9 +62,11 @@
 func (a *agent) sendFromTarget(g segment.Segment) {
 	s := a.s
 	s.after(localDelay, func() {
-		if a.core != nil {
-			a.execute(a.core.FromTarget(s.now, g, s.encode(g)))
-		}
+		s.whenAwake(a.addr, func() {
+			if a.core != nil {
+				a.execute(a.core.FromTarget(s.clock(a.addr), g, s.encode(g)))
+			}
+		})
 	})
 }
 
@@ -144,7 +147,7 @@
 // misdirectedWindow and none arrives at its holder.
 func (s *sim) recordMisdirected(g segment.Segment, receiver *target) {
 	holder := s.holders[g.Flow]
-	if holder == nil || holder == receiver || holder.exited || holder.silent {
+	if holder == nil || holder == receiver || holder.exited || holder.silent || !s.counts(s.lastTaker[g.Flow], holder, g.Flow) {
 		return
 	}
 	recent := s.misdirected[g.Flow][:0]
