--- a/internal/steersim/processes_test.go
+++ b/internal/steersim/processes_test.go
@@ -1,7 +1,9 @@
 package steersim
 
 import (
+	"fmt"
 	"net/netip"
+	"testing"
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
@@ -209,3 +211,10 @@
 	s.logf("fault: balancer %s added", b.addr)
 	s.after(s.randomUpTo(probeInterval), func() { s.probe(b) })
 }
+
+// eachSeed runs f as a subtest for each seed.
+func eachSeed(t *testing.T, f func(t *testing.T, seed uint64)) {
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { f(t, seed) })
+	}
+}
