steersim: a failing test of probes at a crashed target

What callers see: requests on open flows of running targets time out, and every later one of the flow too.

Cause: checkDeliveredProbes takes a probe that was not bounced within 50 ms as accepted. A crashed target, or one whose VM is down, bounces nothing, so its agent, which started after it, says Held for each flow that is probed there. The balancer's lookup ends with this target, and the one that holds the flow never gets its packets.

--- a/internal/steersim/probes_test.go
+++ b/internal/steersim/probes_test.go
@@ -41,3 +41,28 @@
 		s.run(5 * time.Second) // recordMisdirected checks that packets reach the holder
 	})
 }
+
+// Guards against flows that fail because they were probed at a crashed target, which bounces
+// nothing, and then count as held by it.
+func TestFaultProbesAtACrashedTarget(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		s, callers := simWithUnsureAgents(t, seed)
+		crashed := s.agents[0].target
+		crashed.exited = true
+		s.restartBalancers()
+		s.run(5 * time.Second)
+		failed, all := 0, 0
+		var last *caller
+		for _, c := range callers {
+			if h := s.holders[c.flow]; h != nil && h != crashed {
+				all++
+				if c.ended && c.awaitingReply {
+					failed, last = failed+1, c
+				}
+			}
+		}
+		if failed > 0 {
+			s.failFlow(last.flow, "%d of %d flows of running targets failed", failed, all)
+		}
+	})
+}
