steersim: a failing test of a late heartbeat of an earlier target

What callers see: a reset of an open flow.

Cause: an agent that restarts beside a running target accepts the first heartbeat, also one of the target's earlier start that was delayed. The next heartbeat of the running target has a later start, so HandleHeartbeat calls clearFlows, which also clears mayHoldUnseen: the agent denies the flows that the target opened before the agent's start.

--- /dev/null
+++ b/internal/steersim/latetargets_test.go
@@ -0,0 +1,39 @@
+package steersim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/passthrough"
+)
+
+// simWithRestartedTarget returns a deployment in which the first target has restarted, with
+// long flows, and the identity and start of the earlier one.
+func simWithRestartedTarget(t *testing.T, seed uint64, sameID bool) (s *sim, a *agent, earlier passthrough.Heartbeat) {
+	s = newSim(t, seed, 3, map[model.ServiceName]int{"alpha": 2})
+	s.run(2 * time.Second)
+	a = s.agents[0]
+	old := a.target
+	a.crashTarget(500*time.Millisecond, sameID)
+	s.run(3 * time.Second)
+	for range 40 {
+		s.openFlow(0, 20, 400*time.Millisecond)
+	}
+	s.run(1200 * time.Millisecond)
+	return s, a, passthrough.Heartbeat{Target: old.id, Service: old.service, Slots: old.slots, Sequence: old.seq + 1, StartMillis: old.startMillis}
+}
+
+// Guards against the loss of the flows of a running target whose agent restarts and then gets
+// a delayed heartbeat of the target before.
+func TestFaultLateHeartbeatOfAnEarlierTarget(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		s, a, earlier := simWithRestartedTarget(t, seed, false)
+		a.restart()
+		s.after(processRestartTime+time.Millisecond, func() {
+			_, actions := a.core.HandleHeartbeat(s.clock(a.addr), earlier)
+			a.execute(actions)
+		})
+		s.run(8 * time.Second)
+	})
+}
