steersim: failing tests of a late announcement of an earlier target's exit

What callers see: resets of open flows, and a running target that gets no flows for the rest of its life.

Cause: HandleTargetExit compares identities only, and none before the first heartbeat. The announcement of an earlier start sets the state Gone. Before the first heartbeat of the running target, flowStatus then answers NotHeld for flows that the agent has not seen. With the same identity, checkHeartbeat ignores all further heartbeats of the running target as outdated, and the agent refuses flows. The announcement carries the target's start, which platform does not decode.

--- a/internal/steersim/latetargets_test.go
+++ b/internal/steersim/latetargets_test.go
@@ -37,3 +37,25 @@
 		s.run(8 * time.Second)
 	})
 }
+
+// Guards against the same when the announcement of the earlier target's exit is delayed.
+func TestFaultLateExitOfAnEarlierTarget(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		s, a, earlier := simWithRestartedTarget(t, seed, false)
+		a.restart()
+		s.after(processRestartTime+time.Millisecond, func() { a.execute(a.core.HandleTargetExit(s.clock(a.addr), earlier.Target)) })
+		s.run(8 * time.Second) // reset checks that no running target holds the flow
+	})
+}
+
+// Guards against a target that gets no flows for ever, because the exit of an earlier one with
+// its identity was announced late.
+func TestFaultLateExitOfATargetWithTheSameIdentity(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		s, a, earlier := simWithRestartedTarget(t, seed, true)
+		a.execute(a.core.HandleTargetExit(s.clock(a.addr), earlier.Target))
+		s.run(5 * time.Second)
+		h := &history{sim: s}
+		h.checkAllTargetsGetFlows()
+	})
+}
