passthrough: starts of a target are not ordered by its clock

After the clock of a target's VM went back between two of its starts, the agent would ignore all heartbeats of the running target: wrong slots, warm-up and state, and a target that counts as silent. A late heartbeat of an earlier start with the later time would make the agent forget the flows of the running target, which are then reset, and would lift its drain.

Cause: heartbeats were ordered by born, the target's time of day at its start.

Change: a start is identity and born, compared for equality. Another start than the one in effect takes effect at once if that one is silent, and otherwise when a second heartbeat follows half an interval later or more and the one in effect has sent none for 1.5 intervals. The same holds for a start that announced its exit. A heartbeat that drains stops new flows before it is acknowledged, also of an unconfirmed start. Flows are no longer dropped with the start: a target that does not hold one bounces its packet, and the caller is reset at once. Log line target_start.

--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -342,9 +342,12 @@
 }
 
 func (a *Agent) logEntry(now time.Time, e passthrough.Entry) {
-	f := make(fields, 0, 12)
+	f := make(fields, 0, 14)
 	f.addFlow(e.Flow)
 	f.addText("target", e.Target)
+	if e.StartMillis != 0 {
+		f.addField("target_started", e.StartMillis)
+	}
 	f.addText("reason", e.Reason)
 	f.addAge(e.Age)
 	f.addField("sequence", e.Sequence)
--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -164,7 +164,7 @@
 		}
 	case s.Accepts():
 		c.bouncedOpenings = 0
-		if f.phase == phaseOpening {
+		if f.phase == phaseOpening || f.phase == phaseAccepted { // a restarted target answers a copy anew
 			f.phase, f.targetISN = phaseAccepted, s.Seq
 		}
 		if f.balancer.IsValid() {
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -6,6 +6,7 @@
 package passthrough
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -124,10 +125,12 @@
 type Entry struct {
 	Event    string
 	Flow     model.Flow
-	Target   string // identity given by the target
+	Target   string // identity given by the target, by default of the start in effect
 	Reason   string
 	Sequence uint64        // of the heartbeat, or the number of flows in flows_forgotten
 	Age      time.Duration // of the information behind the decision
+	// StartMillis is the start that a heartbeat names, 0 in entries about other decisions.
+	StartMillis int64
 }
 
 // Counter is the name of a metric and its reason label.
@@ -193,6 +196,8 @@
 	heartbeatReceived  bool
 	state              steerwire.TargetState
 	targetLastSeen     time.Time // last packet, heartbeat or successful health check
+	lastHeartbeat      time.Time // last accepted heartbeat
+	otherStart         otherStart
 	coldUntil          time.Time
 	fullUntil          time.Time
 	unansweredOpenings int // consecutive opening packets without an answer
@@ -253,7 +258,7 @@
 func (c *Core) Flows() int { return len(c.flows) }
 
 func (c *Core) log(e Entry) {
-	e.Target = c.target.Target
+	e.Target = cmp.Or(e.Target, c.target.Target)
 	c.actions = append(c.actions, Action{Kind: Log, Entry: e})
 }
 
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -15,7 +15,14 @@
 	Slots         int
 	ColdRemaining time.Duration // remaining warm-up time after its start
 	Sequence      uint64        // increases until the target restarts
-	StartMillis   int64         // start of the target, Unix milliseconds by its clock
+	// StartMillis identifies a start together with Target. It is the Unix time of the start
+	// by the target's clock, which may be set back between two starts, so it has no order.
+	StartMillis int64
+}
+
+// sameStart reports whether two heartbeats are from the same start of a target.
+func (h Heartbeat) sameStart(other Heartbeat) bool {
+	return h.Target == other.Target && h.StartMillis == other.StartMillis
 }
 
 // Verdict is the result of checking a heartbeat.
@@ -26,9 +33,12 @@
 	// Accepted: the heartbeat is in effect. A draining target gets no new flows from
 	// now on.
 	Accepted Verdict = iota + 1
-	// Outdated: a later heartbeat, one of a later start, or the target's announcement that
-	// it exits was received before.
+	// Outdated: a later heartbeat of the same start, or the target's announcement that it
+	// exits was received before.
 	Outdated
+	// Unconfirmed: the heartbeat is of another start than the present one, and may be late.
+	// If it says that the target drains, the target gets no new flows from now on.
+	Unconfirmed
 	// Foreign: the heartbeat is from a target of another service.
 	Foreign
 )
@@ -40,6 +50,8 @@
 		return "accepted"
 	case Outdated:
 		return "outdated"
+	case Unconfirmed:
+		return "unconfirmed_start"
 	case Foreign:
 		return "foreign"
 	}
@@ -97,20 +109,25 @@
 // HandleHeartbeat handles a heartbeat of the target.
 func (c *Core) HandleHeartbeat(now time.Time, h Heartbeat) (Verdict, []Action) {
 	c.actions = c.actions[:0]
-	v := c.checkHeartbeat(h)
+	v := c.checkHeartbeat(now, h)
 	c.count(CounterHeartbeats, v.String())
 	if v != Accepted {
-		c.log(Entry{Event: "heartbeat", Reason: v.String(), Sequence: h.Sequence, Age: now.Sub(c.targetLastSeen)})
+		c.log(Entry{Event: "heartbeat", Target: h.Target, StartMillis: h.StartMillis, Reason: v.String(), Sequence: h.Sequence, Age: now.Sub(c.targetLastSeen)})
+		if v == Unconfirmed && h.Draining && c.state != steerwire.TargetGone {
+			c.target.Draining = true // until the next heartbeat of the start in effect
+			c.setState(now, steerwire.TargetDraining, v.String())
+		}
 		return v, c.actions
 	}
-	if c.heartbeatReceived && h.StartMillis != c.target.StartMillis {
-		c.clearFlows(now, "restarted")
+	if !c.heartbeatReceived || !h.sameStart(c.target) {
+		c.recordStart(now, h)
 	}
 	if c.mayHoldUnseen && h.StartMillis > 0 && h.StartMillis+startMargin.Milliseconds() > int64(c.opts.Incarnation) {
 		c.mayHoldUnseen = false // the target started with the agent or later, so all its flows are known
 		c.log(Entry{Event: "flows_certain", Reason: "target_started_later", Sequence: h.Sequence})
 	}
-	c.heartbeatReceived, c.target, c.targetLastSeen = true, h, now
+	c.heartbeatReceived, c.target, c.targetLastSeen, c.lastHeartbeat = true, h, now, now
+	c.otherStart = otherStart{}
 	c.coldUntil = now.Add(h.ColdRemaining)
 	state := steerwire.TargetReady
 	if h.Draining {
@@ -120,20 +137,66 @@
 	return v, c.actions
 }
 
-func (c *Core) checkHeartbeat(h Heartbeat) Verdict {
+func (c *Core) checkHeartbeat(now time.Time, h Heartbeat) Verdict {
+	same := h.sameStart(c.target)
 	switch {
 	case h.Service != c.opts.Service:
 		return Foreign
 	case !c.heartbeatReceived:
 		return Accepted
-	case h.StartMillis < c.target.StartMillis:
+	case same && h.Sequence <= c.target.Sequence:
 		return Outdated
-	case h.StartMillis == c.target.StartMillis && h.Target == c.target.Target && h.Sequence <= c.target.Sequence:
-		return Outdated
-	case h.StartMillis == c.target.StartMillis && h.Target == c.target.Target && c.state == steerwire.TargetGone:
+	case same && c.state != steerwire.TargetGone || c.confirmOtherStart(now, h):
+		return Accepted
+	case same:
 		return Outdated
 	}
-	return Accepted
+	return Unconfirmed
+}
+
+// otherStart is a start of the target that is not known to be the present one: another
+// start than the one in effect, or one that announced its exit. The zero value is none.
+type otherStart struct {
+	last  Heartbeat
+	since time.Time // receipt of the first heartbeat
+}
+
+// confirmOtherStart reports whether a heartbeat shows that its start is the present one. A
+// late heartbeat of an earlier start looks the same as the first one of a new start, so the
+// start in effect must be silent, and unless it does not answer packets either, a second
+// heartbeat must follow.
+func (c *Core) confirmOtherStart(now time.Time, h Heartbeat) bool {
+	if c.state == steerwire.TargetSilent && !c.target.Draining {
+		return true
+	}
+	if o := &c.otherStart; o.since.IsZero() || !h.sameStart(o.last) {
+		*o = otherStart{last: h, since: now}
+		return false
+	}
+	if h.Sequence <= c.otherStart.last.Sequence {
+		return false
+	}
+	c.otherStart.last = h
+	interval := c.opts.HeartbeatInterval
+	return now.Sub(c.otherStart.since) >= interval/2 && now.Sub(c.lastHeartbeat) >= interval*3/2
+}
+
+// recordStart puts the start of h into effect. Requests at the former start have ended. Its
+// flows stay in the table: the target bounces their packets if it does not hold them.
+func (c *Core) recordStart(now time.Time, h Heartbeat) {
+	e := Entry{Event: "target_start", Target: h.Target, StartMillis: h.StartMillis, Reason: "first_heartbeat", Sequence: h.Sequence}
+	if c.heartbeatReceived {
+		e.Reason, e.Age = "confirmed", now.Sub(c.lastHeartbeat)
+		if c.state == steerwire.TargetSilent {
+			e.Reason = "former_silent"
+		}
+		for _, f := range c.flows {
+			if !f.requestStart.After(c.lastHeartbeat) {
+				c.endRequest(now, f)
+			}
+		}
+	}
+	c.log(e)
 }
 
 // Health is the outcome of a health check.
@@ -175,7 +238,7 @@
 	return c.actions
 }
 
-// clearFlows removes all flows after the target has restarted.
+// clearFlows removes all flows after the target has exited.
 func (c *Core) clearFlows(now time.Time, reason string) {
 	c.log(Entry{Event: "flows_forgotten", Reason: reason, Sequence: uint64(len(c.flows))})
 	clear(c.flows)
