passthrough: no clock tells an agent that it knows all flows of its target

What callers saw: "an open flow was reset by front-dk-east-c-1 while its server serves".

Cause: an agent concluded from born + 300 ms > its own start by the time of day that its target had started later, so that it knew all flows. After a step back by more than the target's age that is wrong. The agent denies the flows that its target holds, a lookup finds no holder, and the balancer resets them.

Change: only what the agent has seen itself makes it certain: nothing listened at the target's address at its start, the first start of the deployment, or flow_idle has passed. Everything else is probed, one packet a flow and agent. A change of the target's start is no proof either, since the first heartbeat heard may be late. New line flows_uncertain, one at a start.

--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -38,11 +38,6 @@
 	reportsPerBalancerList = 32
 	// fullDuration is the time for which a target is full after it bounced an opening packet.
 	fullDuration = 100 * time.Millisecond
-	// startMargin is how long before its agent a target may have started and still hold
-	// no unseen flow. To open one, a previous agent would have had to receive the
-	// target's heartbeat, report it, deliver an opening packet, exit and start again
-	// within that time. When a VM loses power, both start within 200 ms of each other.
-	startMargin = 300 * time.Millisecond
 	// unregisteredDelay is how long an agent without an object in the store waits after
 	// the first hello before it accepts flows. Balancers pass on its address with their
 	// next hello (every 250 ms), one of which may be lost.
@@ -203,8 +198,11 @@
 	unansweredOpenings int // consecutive opening packets without an answer
 	// bouncedOpenings counts consecutive bounced opening packets. A target that accepts no
 	// flows must not look idle to the balancers.
-	bouncedOpenings      int
-	mayHoldUnseen        bool // the target may hold flows from before the agent's start
+	bouncedOpenings int
+	// mayHoldUnseen is set while the target may hold flows from before the agent's start.
+	// Only what the agent has seen itself ends it: clocks cannot tell which of the two
+	// started first.
+	mayHoldUnseen        bool
 	leaving              bool
 	ended                bool      // the target has exited and the agent is about to
 	registered           bool      // the agent's object is in the store
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -264,17 +264,14 @@
 }
 
 // Guards against an agent that stays unsure about flows. The target holds no unseen flow
-// if it starts with the agent, does not run, or FlowIdleTimeout has passed.
+// if it does not run at the agent's start, or FlowIdleTimeout has passed.
 func TestNoUnseenFlows(t *testing.T) {
 	is := is.New(t)
 	c := newCore(false)
-	h := heartbeat(1)
-	h.StartMillis = start.Add(-100 * time.Millisecond).UnixMilli()
-	c.HandleHeartbeat(start, h)
-	is.Equal(c.flowStatus(flowOf(1), 0), steerwire.NotHeld)
-	c = newCore(false)
 	c.HandleHealthCheck(start, NotRunning)
 	is.Equal(c.flowStatus(flowOf(1), 0), steerwire.NotHeld)
+	c.HandleHeartbeat(ms(100), heartbeat(1)) // of a target that started later
+	is.Equal(c.flowStatus(flowOf(1), 0), steerwire.NotHeld)
 	c = newCore(false)
 	c.HandleHeartbeat(start, heartbeat(1))
 	c.Tick(start.Add(61 * time.Second))
--- a/internal/passthrough/starts_test.go
+++ b/internal/passthrough/starts_test.go
@@ -178,3 +178,35 @@
 	is.Equal(c.State(), steerwire.TargetReady)
 	is.Equal(delivered(forward(c, ms(4001), syn(1))), 1)
 }
+
+// Guards against resets of open flows by an agent that started after its target, and takes
+// the target for the later one because of what the clock showed at both starts.
+func TestStartTimesDoNotMakeFlowsCertain(t *testing.T) {
+	incarnation := start.UnixMilli()
+	for _, started := range []int64{
+		incarnation - 100, incarnation, incarnation + 100, incarnation + 8000, incarnation + 86_400_000, 0, math.MinInt64, math.MaxInt64,
+	} {
+		is := is.New(t)
+		c := newCore(false)
+		for seq := uint64(2); seq <= 4; seq++ {
+			h := heartbeat(seq)
+			h.StartMillis = started
+			c.HandleHeartbeat(ms(10+1000*int(seq)), h)
+		}
+		is.Equal(c.flowStatus(flowOf(1), 0), steerwire.Unsure)
+		is.True(!c.Report(ms(4100)).Empty)
+	}
+}
+
+// Guards against resets of open flows by an agent that takes its target for one that started
+// later, because it hears a late heartbeat of an earlier start first.
+func TestAnotherStartDoesNotMakeFlowsCertain(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	c.HandleHeartbeat(ms(10), restarted("t0", time.Minute, 40))
+	for seq := uint64(7); seq <= 10; seq++ {
+		c.HandleHeartbeat(ms(500+1000*int(seq-7)), heartbeat(seq))
+	}
+	is.Equal(c.Report(ms(3600)).TargetStartMillis, heartbeat(1).StartMillis)
+	is.Equal(c.flowStatus(flowOf(1), 0), steerwire.Unsure)
+}
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -122,10 +122,6 @@
 	if !c.heartbeatReceived || !h.sameStart(c.target) {
 		c.recordStart(now, h)
 	}
-	if c.mayHoldUnseen && h.StartMillis > 0 && h.StartMillis+startMargin.Milliseconds() > int64(c.opts.Incarnation) {
-		c.mayHoldUnseen = false // the target started with the agent or later, so all its flows are known
-		c.log(Entry{Event: "flows_certain", Reason: "target_started_later", Sequence: h.Sequence})
-	}
 	c.heartbeatReceived, c.target, c.targetLastSeen, c.lastHeartbeat = true, h, now, now
 	c.otherStart = otherStart{}
 	c.coldUntil = now.Add(h.ColdRemaining)
@@ -214,12 +210,17 @@
 // first heartbeat. The number of slots is unknown until then, so the minimum of one is used.
 func (c *Core) HandleHealthCheck(now time.Time, h Health) []Action {
 	c.actions = c.actions[:0]
-	switch {
-	case c.heartbeatReceived:
-	case h == NotRunning && len(c.flows) == 0:
+	if h == NotRunning && len(c.flows) == 0 && !c.heartbeatReceived {
 		c.mayHoldUnseen = false
 		c.log(Entry{Event: "flows_certain", Reason: "target_not_running"})
-	case h == Healthy:
+	} else if c.mayHoldUnseen {
+		reason := "target_running"
+		if h == Unhealthy && !c.heartbeatReceived {
+			reason = "target_unhealthy"
+		}
+		c.log(Entry{Event: "flows_uncertain", Reason: reason})
+	}
+	if h == Healthy && !c.heartbeatReceived {
 		c.targetLastSeen = now
 		c.target.Slots = 1
 		c.setState(now, steerwire.TargetReady, "health_check")
--- a/internal/steersim/clocks_test.go
+++ b/internal/steersim/clocks_test.go
@@ -56,3 +56,25 @@
 		}
 	})
 }
+
+// Guards against resets of open flows whose agents start after their targets, but under a
+// clock that was set back by more than the age of the targets.
+func TestFaultClockGoesBackBetweenStartsOfATargetAndItsAgent(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, s *sim) {
+		s.generateTraffic(20*time.Second, 120, 0.3)
+		for i, a := range s.agents {
+			s.after(time.Second, func() { s.stepClocks(-20*time.Second, a.addr) })
+			s.after(2*time.Second+time.Duration(i)*700*time.Millisecond, a.restart)
+		}
+		for i, b := range s.balancers {
+			s.after(5*time.Second+time.Duration(i)*time.Second, func() {
+				b.kill()
+				s.after(processRestartTime, b.start)
+			})
+		}
+		s.run(30 * time.Second) // reset checks that no running target holds the flow
+		if s.failed > s.served/20 {
+			s.fail("%d of %d requests failed", s.failed, s.served+s.failed)
+		}
+	})
+}
