--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -6,6 +6,7 @@
 package passthrough
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -37,11 +38,6 @@
 	reportsPerBalancerList = 32
 	// fullDuration is the time for which a target is full after it bounced an opening packet.
 	fullDuration = 100 * time.Millisecond
-	// startMargin is how long before its agent a target may have started and still hold
-	// no unseen flow. To open one, a previous agent would have had to receive the
-	// target's heartbeat, report it, deliver an opening packet, exit and start again
-	// within that time. When a VM loses power, both start within 200 ms of each other.
-	startMargin = 300 * time.Millisecond
 	// unregisteredDelay is how long an agent without an object in the store waits after
 	// the first hello before it accepts flows. Balancers pass on its address with their
 	// next hello (every 250 ms), one of which may be lost.
@@ -124,10 +120,12 @@
 type Entry struct {
 	Event    string
 	Flow     model.Flow
-	Target   string // identity given by the target
+	Target   string // identity given by the target, by default of the start in effect
 	Reason   string
 	Sequence uint64        // of the heartbeat, or the number of flows in flows_forgotten
 	Age      time.Duration // of the information behind the decision
+	// StartMillis is the start that a heartbeat names, 0 in entries about other decisions.
+	StartMillis int64
 }
 
 // Counter is the name of a metric and its reason label.
@@ -193,13 +191,18 @@
 	heartbeatReceived  bool
 	state              steerwire.TargetState
 	targetLastSeen     time.Time // last packet, heartbeat or successful health check
+	lastHeartbeat      time.Time // last accepted heartbeat
+	otherStart         otherStart
 	coldUntil          time.Time
 	fullUntil          time.Time
 	unansweredOpenings int // consecutive opening packets without an answer
 	// bouncedOpenings counts consecutive bounced opening packets. A target that accepts no
 	// flows must not look idle to the balancers.
-	bouncedOpenings      int
-	mayHoldUnseen        bool // the target may hold flows from before the agent's start
+	bouncedOpenings int
+	// mayHoldUnseen is set while the target may hold flows from before the agent's start.
+	// Only what the agent has seen itself ends it: clocks cannot tell which of the two
+	// started first.
+	mayHoldUnseen        bool
 	leaving              bool
 	ended                bool      // the target has exited and the agent is about to
 	registered           bool      // the agent's object is in the store
@@ -253,7 +256,7 @@
 func (c *Core) Flows() int { return len(c.flows) }
 
 func (c *Core) log(e Entry) {
-	e.Target = c.target.Target
+	e.Target = cmp.Or(e.Target, c.target.Target)
 	c.actions = append(c.actions, Action{Kind: Log, Entry: e})
 }
 
