--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -77,6 +77,10 @@
 	// preConfigTimeout is how long packets are buffered for the first configuration. After
 	// that time the caller retransmits.
 	preConfigTimeout = 200 * time.Millisecond
+	// FirstDecisionsTimeout is how long the first configuration from the store, and new
+	// flows if a peer's decision files are in effect, wait for the first listing of the
+	// decision files. It is requested at the start, and the store answers in 5 ms.
+	FirstDecisionsTimeout = 100 * time.Millisecond
 	// agentLossTimeout is the time without reports after which an agent is lost and no
 	// longer regarded as a possible holder of flows: packets do not reach it from here,
 	// whether its target is running or not. It is longer than any planned restart.
@@ -288,6 +292,8 @@
 	formerShares map[netip.AddrPort][]Share // shares of routes in earlier configurations
 	started      time.Time
 	random       uint64
+	// decisionsListed is set once the store has listed the decision files.
+	decisionsListed bool
 
 	flows             map[model.Flow]*flow
 	sentOpenings      []flowOpening // awaiting an answer, by openingAt
@@ -492,7 +498,7 @@
 	case s.FromTarget || s.Flags.Has(segment.Bounced) || s.Accepts():
 		// Only targets send accepting or bounced packets; from a caller they are forged.
 		c.count(CounterDropped, "forged")
-	case c.config == nil, s.Opens() && (!c.unconfirmedSince.IsZero() || c.decisionsMissing(now)):
+	case c.config == nil, s.Opens() && c.openingsWait(now):
 		c.bufferPreConfig(now, s, raw)
 	case s.Opens():
 		c.handleOpening(now, s, raw)
