wire, node: a process whose clock went back is told the incarnation to exceed

In the own HTTP mode a target got no flows, and agents dropped every packet that a balancer forwarded, for the rest of the process after the clock of its VM went back between two starts.

Cause: the incarnation is the time of day at the start. A receiver that has heard the earlier process drops all messages of a lower incarnation in the codec, before membership sees them. The rule that a process raises its incarnation above any value heard for its ID needs an acknowledgement, and none was ever sent to such a process.

Change: who refuses a datagram as stale answers its sender with the incarnation that it has to exceed (Superseded, at most every 50 ms to one sender), and the sender raises its own. Only authentic datagrams are answered; a replayed datagram of an earlier process makes the running one raise nothing, because its incarnation is higher already.

The raised incarnation is logged.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -151,6 +151,8 @@
 	case message.HeartbeatAck, message.Slice:
 		c.stepFlows(flows.Contact{})
 		c.stepAnnouncer(membership.Received{From: ev.From, FromAddr: ev.Addr, Msg: ev.Msg})
+	case message.Superseded:
+		c.stepAnnouncer(membership.Received{From: ev.From, FromAddr: ev.Addr, Msg: ev.Msg})
 	case message.FlowQuery, message.FlowAnswer, message.FlowRegister, message.FlowRelease, message.FlowAck, message.LoadReport:
 		c.handleFlowMessage(ev)
 	default:
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -149,7 +149,7 @@
 		c.applyRouteActions(c.router.Step(c.now, route.FlowHint{From: ev.From, Msg: m}))
 	case message.FlowAnswer:
 		c.applyRouteActions(c.router.Step(c.now, route.FlowAnswer{From: ev.From, Msg: m}))
-	case message.Heartbeat, message.HeartbeatAck, message.MemberDelta, message.Suspicion:
+	case message.Heartbeat, message.HeartbeatAck, message.Superseded, message.MemberDelta, message.Suspicion:
 		c.stepObserver(membership.Received{From: ev.From, FromAddr: ev.Addr, Msg: ev.Msg})
 	default:
 		c.out = append(c.out, Count{Reason: "message_unexpected"})
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -86,6 +86,8 @@
 	seed       uint64
 	seedCount  uint64
 	keysOpenAt time.Time
+	// timeOfDay is the time of day of the processes that are started from now on.
+	timeOfDay func() time.Time
 
 	mu        sync.Mutex
 	balancers []*BalancerProc
@@ -106,6 +108,7 @@
 	c := &Cluster{
 		Spec: spec, Fabric: f, Store: store.New(store.Options{}), logger: logger, metrics: metrics,
 		key: []byte("demo key of the shared secret, 32+ bytes"), seed: seed, keysOpenAt: time.Now().Add(keyedRequestsDelay),
+		timeOfDay: time.Now,
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	ln, err := net.Listen("tcp", anyPort.String())
@@ -156,7 +159,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	b, err := node.NewBalancer(node.BalancerOptions{
-		Self:       model.Member{ID: id, DC: dc, Incarnation: model.Incarnation(time.Now().UnixMilli()), PeerAddr: anyPort, Weight: 1},
+		Self:       model.Member{ID: id, DC: dc, Incarnation: model.Incarnation(c.timeOfDay().UnixMilli()), PeerAddr: anyPort, Weight: 1},
 		FabricAddr: anyPort, ReturnAddr: c.Fabric.ReturnAddr(), Seeds: c.seedAddrs(), Keys: [][]byte{c.key},
 		Seed: c.nextSeed(), Store: c.Client, Metrics: c.metrics, Logger: c.logger.With("node", id), Linger: time.Second,
 	})
@@ -232,7 +235,7 @@
 func (c *Cluster) startAgent(service model.ServiceName, id model.NodeID, dc model.DataCentre, h *targetHost) (*AgentProc, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := c.timeOfDay()
 	a, err := node.NewAgent(node.AgentOptions{
 		Self: model.Member{
 			ID: id, DC: dc, Service: service, Incarnation: model.Incarnation(now.UnixMilli()), PeerAddr: anyPort,
--- a/internal/membership/announcer.go
+++ b/internal/membership/announcer.go
@@ -80,6 +80,8 @@
 	switch m := e.Msg.(type) {
 	case message.HeartbeatAck:
 		a.sender.handleAck(a.now, e.From, m)
+	case message.Superseded:
+		a.sender.handleSuperseded(m)
 	case message.Slice:
 		a.mergeSlice(e.From, m)
 	}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -177,6 +177,12 @@
 	return false
 }
 
+// handleSuperseded handles the notice that a peer has accepted a higher incarnation of
+// this node. It returns true if the incarnation had to be raised above it.
+func (s *heartbeatSender) handleSuperseded(m message.Superseded) (raised bool) {
+	return m.Incarnation > s.self.Incarnation && s.supersede(m.Incarnation, 0, model.StateActive)
+}
+
 // supersede raises the node's record above a version known to peers if that version
 // is from another process of the node, or has it as suspect or gone. It reports
 // whether the record was raised.
--- a/internal/membership/observer.go
+++ b/internal/membership/observer.go
@@ -222,6 +222,10 @@
 		if o.sender.handleAck(o.now, e.From, m) {
 			o.announceSelf()
 		}
+	case message.Superseded:
+		if o.sender.handleSuperseded(m) {
+			o.announceSelf()
+		}
 	case message.MemberDelta:
 		o.apply(m.Members, o.repair.Joining())
 		o.mergeReachability(m.Reachability)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -35,6 +35,13 @@
 	SliceDigest uint64            `cbor:"4,keyasint,omitempty"` // 0: no Slice follows
 }
 
+// Superseded answers a message of an incarnation that the recipient refuses, because
+// it has accepted a message of a higher one of the same NodeID. The sender raises its
+// incarnation above it.
+type Superseded struct {
+	Incarnation model.Incarnation `cbor:"1,keyasint,omitempty"` // the highest accepted one
+}
+
 // Slice is what an agent needs of the membership and configuration: the view of
 // its own service and the balancers that may forward packets to it.
 type Slice struct {
@@ -349,6 +356,7 @@
 
 func (Heartbeat) peerMessage()    {}
 func (HeartbeatAck) peerMessage() {}
+func (Superseded) peerMessage()   {}
 func (Slice) peerMessage()        {}
 func (MemberDelta) peerMessage()  {}
 func (Suspicion) peerMessage()    {}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -418,6 +418,7 @@
 		a.opt.Logger.Info("drain by decision file", "on", act.On)
 	case agent.Incarnation:
 		a.transport.codec.SetIncarnation(act.Incarnation)
+		a.opt.Logger.Info("incarnation raised", "reason", "earlier process had a higher one", "incarnation", act.Incarnation)
 	case agent.Count:
 		a.opt.Metrics.Count("flow_events", act.Reason, 1)
 	}
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -66,9 +66,10 @@
 	buffered map[route.Ref]bufferedPacket // until the core releases them
 	nextRef  route.Ref
 
-	calls   calls
-	stopped chan struct{} // closed when the core's loop has ended
-	started time.Time
+	calls       calls
+	stopped     chan struct{} // closed when the core's loop has ended
+	started     time.Time
+	incarnation model.Incarnation
 }
 
 // bufferedPacket is a parsed packet. It is buffered while the core looks up the
@@ -109,6 +110,7 @@
 	}
 	_ = b.fabricConn.SetReadBuffer(socketBuffer)
 	b.opt.Self.PeerAddr = b.transport.addr()
+	b.incarnation = opt.Self.Incarnation
 	b.core = balancer.New(balancer.Options{
 		Self: b.opt.Self, Seeds: opt.Seeds, Seed: opt.Seed, Router: opt.Router, Intervals: opt.Intervals,
 	})
@@ -308,8 +310,10 @@
 			b.execute(a)
 		}
 	}
-	if _, ok := ev.(balancer.Tick); ok {
-		b.transport.codec.SetIncarnation(b.core.Self().Incarnation)
+	if inc := b.core.Self().Incarnation; inc > b.incarnation {
+		b.incarnation = inc
+		b.transport.codec.SetIncarnation(inc)
+		b.opt.Logger.Info("incarnation raised", "reason", "earlier process had a higher one", "incarnation", inc)
 	}
 }
 
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -31,6 +31,12 @@
 	maxUnusedAddrs = 1024
 	// probeTick is the interval between two checks for due path probes.
 	probeTick = 100 * time.Millisecond
+	// supersededInterval is the interval between two notices to one sender whose
+	// incarnation is refused. A balancer may forward thousands of packets until the first
+	// notice arrives.
+	supersededInterval = 50 * time.Millisecond
+	// maxSupersededSenders bounds the senders whose last notice is remembered.
+	maxSupersededSenders = 1024
 )
 
 // outgoingMessage is one message to be sent. buf holds the packet of a
@@ -128,6 +134,7 @@
 
 func (t *transport) receive(ctx context.Context, path int, handle func(receivedMessage)) error {
 	buf := make([]byte, bufferSize)
+	notices := make(supersededNotices)
 	for {
 		n, from, err := t.conns[path].ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
@@ -142,6 +149,9 @@
 		env, err := t.codec.Open(buf[:n])
 		if err != nil {
 			t.metrics.Count("messages_dropped", reasonOf(err), 1)
+			if errors.Is(err, wire.ErrStale) {
+				t.answerStale(notices, path, from, buf[:n])
+			}
 			continue
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
@@ -156,6 +166,36 @@
 	}
 }
 
+// supersededNotices holds the time of the last notice to each sender.
+type supersededNotices map[model.NodeID]time.Time
+
+// due reports whether a notice to a sender is due, and records it.
+func (n supersededNotices) due(now time.Time, to model.NodeID) bool {
+	if last, ok := n[to]; ok && now.Sub(last) < supersededInterval {
+		return false
+	}
+	if len(n) >= maxSupersededSenders {
+		clear(n)
+	}
+	n[to] = now
+	return true
+}
+
+// answerStale tells the sender of a refused datagram which incarnation it has to exceed:
+// after its clock went back, a process starts with a lower one than its predecessor.
+func (t *transport) answerStale(notices supersededNotices, path int, addr netip.AddrPort, datagram []byte) {
+	to, accepted := t.codec.Superseding(datagram)
+	if accepted == 0 || !notices.due(time.Now(), to) {
+		return
+	}
+	answer, err := t.codec.Seal(nil, to, message.Superseded{Incarnation: accepted})
+	if err != nil {
+		t.metrics.Count("messages_dropped", reasonOf(err), 1)
+		return
+	}
+	_, _ = t.conns[path].WriteToUDPAddrPort(answer, netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()))
+}
+
 // answerProbe answers a probe from the socket on which it arrived, so that the
 // answer uses the same path.
 func (t *transport) answerProbe(path int, to model.NodeID, addr netip.AddrPort, p message.Probe) {
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -39,6 +39,7 @@
 	kindReserve
 	kindReserveReply
 	kindKeyPull
+	kindSuperseded
 )
 
 // maxKind is the highest valid kind.
@@ -80,6 +81,7 @@
 	kindReserve:      decode[message.Reserve],
 	kindReserveReply: decode[message.ReserveReply],
 	kindKeyPull:      decode[message.KeyPull],
+	kindSuperseded:   decode[message.Superseded],
 }
 
 var kinds = map[reflect.Type]kind{
@@ -109,6 +111,7 @@
 	reflect.TypeFor[message.Reserve]():      kindReserve,
 	reflect.TypeFor[message.ReserveReply](): kindReserveReply,
 	reflect.TypeFor[message.KeyPull]():      kindKeyPull,
+	reflect.TypeFor[message.Superseded]():   kindSuperseded,
 }
 
 func kindOf(m message.Message) (kind, bool) {
--- a/internal/wire/replay.go
+++ b/internal/wire/replay.go
@@ -95,6 +95,17 @@
 	return from.id, nil
 }
 
+// incarnation returns a sender's stored node id and highest accepted incarnation.
+func (t *replayTable) incarnation(senderID []byte) (model.NodeID, model.Incarnation) {
+	s := &t.shards[model.HashString(string(senderID))%replayShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from := s.byID[model.NodeID(senderID)]; from != nil {
+		return from.id, from.incarnation
+	}
+	return "", 0
+}
+
 // insert adds a sender and evicts another one if the shard is full.
 func (s *replayShard) insert(id model.NodeID) *sender {
 	if len(s.ring) < s.limit {
--- a/internal/wire/replay_test.go
+++ b/internal/wire/replay_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 )
 
@@ -79,3 +80,28 @@
 	is.NoErr(accept(table, "kept", 2, streamControl, 1)) // restarted
 	is.Equal(accept(table, "kept", 1, streamControl, 10_001), error(ErrStale))
 }
+
+// Guards against a process that is refused as stale for ever after its clock went back between two
+// starts: the refusing node must know which incarnation the process has to exceed.
+func TestRefusedSenderIsToldTheIncarnationToExceed(t *testing.T) {
+	is := is.New(t)
+	receiver := newTestCodec(t, "b", 1, oldKey)
+	probe := message.Probe{ID: 1}
+	for _, inc := range []model.Incarnation{50, 30, 40} { // starts of "a", the clock goes back twice
+		a := newTestCodec(t, "a", inc, oldKey)
+		d := mustSeal(t, a, "b", probe)
+		if _, err := receiver.Open(d); err != nil {
+			is.Equal(err, error(ErrStale))
+			from, accepted := receiver.Superseding(d)
+			is.Equal(from, model.NodeID("a"))
+			is.True(accepted > inc)
+			a.SetIncarnation(accepted + 1)
+			_, err = receiver.Open(mustSeal(t, a, "b", probe))
+			is.NoErr(err)
+		}
+	}
+	forged := mustSeal(t, newTestCodec(t, "a", 1, oldKey), "b", probe)
+	forged[len(forged)-1]++
+	_, accepted := receiver.Superseding(forged)
+	is.Equal(accepted, model.Incarnation(0))
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -236,6 +236,21 @@
 	return Envelope{From: from, Incarnation: model.Incarnation(h.incarnation), Seq: h.seq, Msg: m}, nil
 }
 
+// Superseding returns the sender of a datagram that Open refused with ErrStale, and the
+// highest incarnation of that sender that was accepted. It returns 0 if the sender is
+// no longer known.
+func (c *Codec) Superseding(datagram []byte) (from model.NodeID, accepted model.Incarnation) {
+	signed, err := c.authenticate(datagram)
+	if err != nil {
+		return "", 0
+	}
+	h, _, ok := readHeader(signed[2+keyIDSize:])
+	if !ok {
+		return "", 0
+	}
+	return c.replay.incarnation(h.from)
+}
+
 // authenticate checks size, version and MAC and returns the signed part. Version
 // and key id have fixed offsets, so no CBOR is decoded before the MAC is verified.
 func (c *Codec) authenticate(datagram []byte) ([]byte, error) {
