front: an upload is not cut off when the time of day steps

A caller without a deadline of its own that uploads for longer than the default deadline is cut off only after no data came for that time. When the clock of the VM stepped forward by that time or more between two reads, the upload was cut off in progress (504, outcome unknown); when it stepped back, a silent upload kept its slot longer by the step.

Change: the body keeps the steady time from its start to the last read.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -19,8 +19,9 @@
 
 // replayBody reads the body of a request once and buffers its start for another attempt.
 type replayBody struct {
-	now    func() time.Time
-	length int64 // Content-Length, or -1 if unknown
+	now     func() time.Time
+	started time.Time
+	length  int64 // Content-Length, or -1 if unknown
 
 	mu        sync.Mutex // held during a blocking read of src
 	src       io.Reader
@@ -31,19 +32,17 @@
 	discarded    atomic.Bool  // prefix was dropped or is incomplete
 	readStarted  atomic.Bool  // src was read
 	sourceEnded  atomic.Bool  // src returned an error or io.EOF
-	lastProgress atomic.Int64 // time of the last read, Unix nanoseconds
+	lastProgress atomic.Int64 // time.Duration from started to the last read
 }
 
 func newReplayBody(src io.Reader, length int64, now func() time.Time) *replayBody {
-	b := &replayBody{src: src, length: length, now: now}
-	b.lastProgress.Store(now().UnixNano())
-	return b
+	return &replayBody{src: src, length: length, now: now, started: now()}
 }
 
 // idleTime returns the time since data was last received from the caller, and whether the
 // body is still incomplete.
 func (b *replayBody) idleTime(now time.Time) (time.Duration, bool) {
-	return now.Sub(time.Unix(0, b.lastProgress.Load())), !b.sourceEnded.Load()
+	return now.Sub(b.started) - time.Duration(b.lastProgress.Load()), !b.sourceEnded.Load()
 }
 
 // discard drops the buffered start; the request is not sent again. It does not wait for a
@@ -102,7 +101,7 @@
 	b.err = err
 	b.readStarted.Store(true)
 	b.sourceEnded.Store(err != nil)
-	b.lastProgress.Store(b.now().UnixNano())
+	b.lastProgress.Store(int64(b.now().Sub(b.started)))
 	r.pos += int64(n)
 	return n, err
 }
