membership: nodes agree on the age of a starting target whatever their clocks say

While a target warms up, a flow could be opened by two agents at once, and balancers sent packets of one flow to different homes: its callers would see resets or hangs.

Cause: the rank of a starting target follows from its age, which each node took as its own time of day less the start by the time of day of the target's VM. The settled home is unique only if these ages differ by less than the settle time of 5 s. A clock that steps by more, at either end, breaks that for the rest of the warm-up; after a step back the weight also falls again, which HomeSettled rules out.

Change: a record in a message carries the age of the target. The receiver keeps the start by its own steady clock, once for each incarnation, so that the delay of later messages does not look like a change of the view. A record without an age, from an earlier release, is converted once on receipt. The router compares times, not Unix nanoseconds, for the next step of a warm-up.

--- a/internal/membership/announcer.go
+++ b/internal/membership/announcer.go
@@ -83,7 +83,7 @@
 	case message.Superseded:
 		a.sender.handleSuperseded(m)
 	case message.Slice:
-		a.mergeSlice(e.From, m)
+		a.mergeSlice(e.From, a.received(m))
 	}
 }
 
@@ -120,6 +120,21 @@
 	}
 }
 
+// received converts the start times in a slice. It keeps the start time of a process that
+// is known already, so that the delay of a message does not look like a change.
+func (a *Announcer) received(s message.Slice) message.Slice {
+	s.View.Members = slices.Clone(s.View.Members)
+	for i, m := range s.View.Members {
+		m = m.Received(a.now)
+		k := slices.IndexFunc(a.slice.View.Members, func(h model.Member) bool { return h.ID == m.ID && h.Incarnation == m.Incarnation })
+		if k >= 0 && !m.Started.IsZero() && !a.slice.View.Members[k].Started.IsZero() {
+			m.Started = a.slice.View.Members[k].Started
+		}
+		s.View.Members[i] = m
+	}
+	return s
+}
+
 func (a *Announcer) mergeSlice(from model.NodeID, s message.Slice) {
 	a.removed = slices.DeleteFunc(a.removed, func(d removedMember) bool { return a.now.Sub(d.removedAt) > removedRetention })
 	obs := a.sender.observer(from)
--- a/internal/membership/fullstate.go
+++ b/internal/membership/fullstate.go
@@ -14,7 +14,7 @@
 // slices.
 type FullState struct {
 	iv      Intervals
-	intern  interner
+	records recordCodec
 	members *replica.Map[record]
 	peers   *gossip.Peers
 	next    time.Time
@@ -24,7 +24,7 @@
 func NewFullState(opt Options, members []model.Member) *FullState {
 	f := &FullState{
 		iv:      opt.Intervals.withDefaults(),
-		intern:  interner{},
+		records: newRecordCodec(),
 		members: replica.New[record](replica.Options{Groups: memberGroups, Retention: time.Hour, MaxTombstones: maxTombstones}),
 		peers:   gossip.NewPeers(gossip.NewPeer(opt.Self.ID, opt.Self.DC, opt.Self.PeerAddr), opt.Seed),
 	}
@@ -37,8 +37,8 @@
 		if !validMember(&members[i]) {
 			continue
 		}
-		for _, e := range f.members.Apply(f.intern.pack(&members[i])) {
-			changed = append(changed, unpack(e))
+		for _, e := range f.members.Apply(f.records.pack(&members[i])) {
+			changed = append(changed, f.records.unpack(e))
 		}
 	}
 	if len(changed) == 0 {
@@ -46,7 +46,7 @@
 	}
 	var peers []gossip.Peer
 	for e := range f.members.All() {
-		if m := unpack(e); m.Kind == model.KindBalancer {
+		if m := f.records.unpack(e); m.Kind == model.KindBalancer {
 			peers = append(peers, gossip.NewPeer(m.ID, m.DC, m.PeerAddr))
 		}
 	}
@@ -74,10 +74,10 @@
 	}
 	var out []Action
 	to := f.peers.RandomAnywhere(1)
-	for _, batch := range f.members.Batches(all, gossip.DatagramBudget, recordSize) {
+	for _, batch := range f.members.Batches(all, gossip.DatagramBudget, f.records.size) {
 		members := make([]model.Member, len(batch))
 		for i := range batch {
-			members[i] = unpack(batch[i])
+			members[i] = f.records.unpack(batch[i])
 		}
 		for _, p := range to {
 			out = append(out, Send{To: p.ID, Addr: p.Addr, Msg: message.MemberDelta{Members: members}})
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -109,10 +109,10 @@
 	return nil
 }
 
-func (s *heartbeatSender) heartbeat(full bool, digest uint64) message.Heartbeat {
+func (s *heartbeatSender) heartbeat(now time.Time, full bool, digest uint64) message.Heartbeat {
 	hb := message.Heartbeat{Incarnation: s.self.Incarnation, Seq: s.self.Seq, SliceDigest: digest, FileRev: s.fileRev, Load: s.load}
 	if full {
-		hb.Member = s.self
+		hb.Member = s.self.Sent(now)
 	}
 	return hb
 }
@@ -132,7 +132,7 @@
 		}
 		obs.awaitingAck = regular
 		obs.sentAt = now
-		out = append(out, Send{To: obs.peer.ID, Addr: obs.peer.Addr, Msg: s.heartbeat(!obs.hasRecord, obs.digest)})
+		out = append(out, Send{To: obs.peer.ID, Addr: obs.peer.Addr, Msg: s.heartbeat(now, !obs.hasRecord, obs.digest)})
 	}
 	return append(out, s.tickSeeds(now)...)
 }
@@ -150,7 +150,7 @@
 	for range min(observerCount, len(s.seeds)) {
 		addr := s.seeds[s.seedIndex%len(s.seeds)]
 		s.seedIndex++
-		out = append(out, Send{Addr: addr, Msg: s.heartbeat(true, 0)})
+		out = append(out, Send{Addr: addr, Msg: s.heartbeat(now, true, 0)})
 	}
 	return out
 }
--- a/internal/membership/observer.go
+++ b/internal/membership/observer.go
@@ -24,7 +24,7 @@
 	now     time.Time
 	started time.Time
 	sender  heartbeatSender
-	intern  interner
+	records recordCodec
 
 	members    *replica.Map[record]
 	updates    *gossip.Queue[model.Member]
@@ -52,7 +52,7 @@
 	o := &Observer{
 		opts:         opts,
 		sender:       newHeartbeatSender(opts),
-		intern:       interner{},
+		records:      newRecordCodec(),
 		members:      replica.New[record](replica.Options{Groups: memberGroups, Retention: opts.Retention, MaxTombstones: maxTombstones}),
 		updates:      gossip.NewQueue(memberSize),
 		observedByID: map[model.NodeID]*observedMember{},
@@ -92,7 +92,7 @@
 // effective returns a record as this node must treat it: a member of an unreachable
 // data centre is suspect, and the configured decisions apply.
 func (o *Observer) effective(e replica.Entry[record]) model.Member {
-	m := unpack(e)
+	m := o.records.unpack(e)
 	if m.State < model.StateSuspect && o.reachability.isUnreachable(m.DC) {
 		m.State = model.StateSuspect
 	}
@@ -104,7 +104,7 @@
 func (o *Observer) Step(now time.Time, ev Event) []Action {
 	o.out = nil
 	if o.started.IsZero() {
-		o.started = now
+		o.started, o.records.origin = now, now
 		o.announceSelf()
 	}
 	if gap := now.Sub(o.now); !o.now.IsZero() && gap > pauseGap {
@@ -154,7 +154,7 @@
 // announceSelf stores and spreads the balancer's own record.
 func (o *Observer) announceSelf() {
 	self := o.sender.self
-	if len(o.members.Apply(o.intern.pack(&self))) > 0 {
+	if len(o.members.Apply(o.records.pack(&self))) > 0 {
 		o.updates.Add(string(self.ID), self, o.peers, true)
 		o.handleMemberChange(self)
 	}
@@ -164,8 +164,8 @@
 // joining node receives: they are not spread, because the other nodes have them.
 func (o *Observer) apply(members []model.Member, joining bool) {
 	for i := range members {
-		m := &members[i]
-		if !validMember(m) {
+		m := members[i].Received(o.now)
+		if !validMember(&m) {
 			continue
 		}
 		if m.ID == o.sender.self.ID {
@@ -175,8 +175,12 @@
 			continue
 		}
 		old, known := o.members.Get(string(m.ID))
-		for _, e := range o.members.Apply(o.intern.pack(m)) {
-			got := unpack(e)
+		entry := o.records.pack(&m)
+		if known && old.Version.Hi == entry.Version.Hi && old.Value.started != 0 {
+			entry.Value.started = old.Value.started // the age in each message is a little too low
+		}
+		for _, e := range o.members.Apply(entry) {
+			got := o.records.unpack(e)
 			if known && old.Value.service != got.Service {
 				o.services.remove(old.Value.service, got.ID)
 			}
@@ -247,10 +251,10 @@
 }
 
 func (o *Observer) sendBuckets(e Received, buckets []uint16) {
-	for _, batch := range o.members.Batches(buckets, gossip.DatagramBudget, recordSize) {
+	for _, batch := range o.members.Batches(buckets, gossip.DatagramBudget, o.records.size) {
 		members := make([]model.Member, len(batch))
 		for i := range batch {
-			members[i] = unpack(batch[i])
+			members[i] = o.records.unpack(batch[i]).Sent(o.now)
 		}
 		o.out = append(o.out, Send{To: e.From, Addr: e.FromAddr, Msg: message.MemberDelta{Members: members}})
 	}
@@ -279,6 +283,9 @@
 	o.out = append(o.out, o.sender.tick(o.now)...)
 	o.flushSlices()
 	for _, b := range o.updates.Flush(o.now, o.peers) {
+		for i := range b.Entries {
+			b.Entries[i] = b.Entries[i].Sent(o.now)
+		}
 		for _, p := range b.To {
 			o.send(p.ID, p, message.MemberDelta{Members: b.Entries})
 		}
@@ -310,7 +317,7 @@
 		if r.kind != model.KindBalancer || r.state >= model.StateSuspect {
 			continue
 		}
-		m := unpack(e)
+		m := o.records.unpack(e)
 		peers = append(peers, gossip.NewPeer(m.ID, m.DC, m.PeerAddr))
 		// Reachability is tracked by messages of balancers, so only for data centres
 		// that have one.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -17,7 +17,7 @@
 	service     model.ServiceName
 	ip          netip.Addr
 	weight      float64
-	started     int64 // Unix nanoseconds, 0 if unset
+	started     time.Duration // since the origin of the codec, 0 if unset
 	extra       *recordExtra
 	slots       int32
 	maxFlows    int32
@@ -33,21 +33,27 @@
 	requestAddr, adminAddr netip.AddrPort
 }
 
-// interner deduplicates the names of data centres. Service names are not interned:
-// most services have one or two targets, so interning costs more than it saves.
-type interner map[string]string
+// recordCodec converts members to records and back. It deduplicates the names of data
+// centres, but not of services: most services have one or two targets, so that would
+// cost more than it saves.
+type recordCodec struct {
+	names  map[string]string
+	origin time.Time // of record.started
+}
+
+func newRecordCodec() recordCodec { return recordCodec{names: map[string]string{}} }
 
-func (in interner) get(s string) string {
-	if t, ok := in[s]; ok {
+func (c *recordCodec) intern(s string) string {
+	if t, ok := c.names[s]; ok {
 		return t
 	}
-	in[s] = s
+	c.names[s] = s
 	return s
 }
 
-func (in interner) pack(m *model.Member) replica.Entry[record] {
+func (c *recordCodec) pack(m *model.Member) replica.Entry[record] {
 	r := record{
-		dc:          model.DataCentre(in.get(string(m.DC))),
+		dc:          model.DataCentre(c.intern(string(m.DC))),
 		service:     m.Service,
 		ip:          m.PeerAddr.Addr(),
 		weight:      m.Weight,
@@ -60,7 +66,9 @@
 		state:       m.State,
 	}
 	if !m.Started.IsZero() {
-		r.started = m.Started.UnixNano()
+		if r.started = m.Started.Sub(c.origin); r.started == 0 {
+			r.started = 1
+		}
 	}
 	onPeerIP := func(a netip.AddrPort) bool { return !a.IsValid() || a.Addr() == r.ip }
 	if len(m.HeldAddrs) > 0 || !onPeerIP(m.RequestAddr) || !onPeerIP(m.AdminAddr) {
@@ -74,7 +82,7 @@
 	}
 }
 
-func unpack(e replica.Entry[record]) model.Member {
+func (c *recordCodec) unpack(e replica.Entry[record]) model.Member {
 	r := &e.Value
 	m := model.Member{
 		ID: model.NodeID(e.Key), Kind: r.kind, DC: r.dc, Service: r.service,
@@ -92,7 +100,7 @@
 		m.HeldAddrs, m.RequestAddr, m.AdminAddr = r.extra.heldAddrs, r.extra.requestAddr, r.extra.adminAddr
 	}
 	if r.started != 0 {
-		m.Started = time.Unix(0, r.started).UTC()
+		m.Started = c.origin.Add(r.started)
 	}
 	return m
 }
@@ -109,4 +117,4 @@
 	return 80 + len(m.ID) + len(m.DC) + len(m.Service) + 24*len(m.HeldAddrs)
 }
 
-func recordSize(e replica.Entry[record]) int { return memberSize(unpack(e)) }
+func (c *recordCodec) size(e replica.Entry[record]) int { return memberSize(c.unpack(e)) }
--- a/internal/membership/slices.go
+++ b/internal/membership/slices.go
@@ -80,7 +80,7 @@
 		if rec.Value.kind != model.KindAgent {
 			continue
 		}
-		before, after := unpack(rec), unpack(rec)
+		before, after := o.records.unpack(rec), o.records.unpack(rec)
 		old.override(&before)
 		o.services.override(&after)
 		if before.State != after.State || before.Weight != after.Weight {
@@ -136,7 +136,7 @@
 		if !ok || rec.Deleted {
 			continue
 		}
-		slice := o.sliceFor(unpack(rec))
+		slice := o.sliceFor(o.records.unpack(rec))
 		if slice.Digest != w.sliceDigest && w.sliceDigest != 0 {
 			o.send(w.id, w.peer, slice)
 		}
@@ -153,7 +153,7 @@
 	s.View = model.ServiceView{Service: agent.Service, Rev: conf.Rev, Addrs: conf.Addrs, Policy: conf.Policy}
 	for _, id := range o.services.members[agent.Service] {
 		if m, ok := o.Member(id); ok {
-			s.View.Members = append(s.View.Members, m)
+			s.View.Members = append(s.View.Members, m.Sent(o.now))
 		}
 	}
 	s.AllBalancers = o.peers.Count() <= maxFullBalancers
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -55,7 +55,7 @@
 	var candidates []model.Member
 	for e := range o.members.All() {
 		if o.mayObserve(model.NodeID(e.Key), e.Value.dc) {
-			candidates = append(candidates, unpack(e))
+			candidates = append(candidates, o.records.unpack(e))
 		}
 	}
 	for _, w := range slices.Clone(o.observed) {
@@ -139,7 +139,7 @@
 		w.suspicions = nil
 	}
 	if ok && !rec.Deleted && rec.Value.kind == model.KindAgent {
-		slice := o.sliceFor(unpack(rec))
+		slice := o.sliceFor(o.records.unpack(rec))
 		if w := o.observedByID[e.From]; w != nil {
 			w.sliceDigest = slice.Digest
 		}
@@ -171,7 +171,7 @@
 		if !ok || rec.Deleted {
 			continue
 		}
-		m := unpack(rec)
+		m := o.records.unpack(rec)
 		own := message.Suspicion{ID: m.ID, Incarnation: m.Incarnation, Seq: m.Seq, Observer: o.sender.self.ID}
 		if !o.now.Before(w.nextSuspicionAt) {
 			w.nextSuspicionAt = o.now.Add(suspicionInterval)
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -177,11 +177,36 @@
 	Slots    int       `cbor:"11,keyasint,omitzero"` // requests the target runs at once
 	MaxFlows int       `cbor:"12,keyasint,omitzero"` // connections the target accepts
 	Weight   float64   `cbor:"13,keyasint,omitzero"` // relative share of new work, 1 by default
-	Started  time.Time `cbor:"14,keyasint,omitzero"` // start of the warm-up
+	Started  time.Time `cbor:"14,keyasint,omitzero"` // start of the warm-up, by the clock of the node that has the record
 
 	// HeldAddrs lists, in order, the addresses that are no longer configured for
 	// Service but on which the agent still holds flows.
 	HeldAddrs []ServiceAddr `cbor:"15,keyasint,omitzero"`
+
+	// Age is the time since Started. Only records in messages have it, see Sent and Received.
+	Age time.Duration `cbor:"16,keyasint,omitzero"`
+}
+
+// Sent returns the record as a message carries it.
+func (m Member) Sent(now time.Time) Member {
+	if !m.Started.IsZero() {
+		m.Age = max(now.Sub(m.Started), 1) // 0 stands for a sender that does not know the field
+	}
+	return m
+}
+
+// Received returns a record of a message with Started by the receiver's steady clock. The clocks of
+// two nodes may differ and step, so only the age is comparable.
+func (m Member) Received(now time.Time) Member {
+	if m.Started.IsZero() {
+		m.Age = 0
+		return m
+	}
+	if m.Age <= 0 {
+		m.Age = now.Sub(m.Started)
+	}
+	m.Started, m.Age = now.Add(-m.Age), 0
+	return m
 }
 
 // Target returns the name of the target that an agent serves: its NodeID up to
@@ -220,7 +245,7 @@
 
 // Fingerprint returns a hash by which nodes compare their views of a service. It covers
 // the service name and the IDs, incarnations, states and configured weights (in thousandths)
-// of the members. Effective weights are left out: they also depend on each node's clock.
+// of the members. Effective weights are left out: nodes reach a warm-up step at different times.
 func (v ServiceView) Fingerprint() uint64 {
 	h := HashString(string(v.Service))
 	for i := range v.Members {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,14 +5,15 @@
 // # Warm-up steps
 //
 // The ranking weight of a starting target rises in steps whose times follow
-// from Member.Started. Nodes apply a step at different times because their
-// clocks differ, and the fingerprint does not cover the step. HomeSettled is
-// still correct: a node is the settled home of a hash only if it was the home
-// at every step of the last settle time. Two nodes with the same members and
-// clocks that differ by less than the settle time evaluate overlapping ranges
-// of steps. Within the overlap only one of them is the home, so they are never
-// both the settled home of a hash at the same time. A node that becomes the
-// home through a step is the settled home only after another settle time;
+// from Member.Started. Records carry the age of the target, so the time of day
+// does not matter, but a record takes time to reach a node: nodes apply a step
+// at different times, and the fingerprint does not cover the step. HomeSettled
+// is still correct: a node is the settled home of a hash only if it was the home
+// at every step of the last settle time. Two nodes with the same members whose
+// ages of a target differ by less than the settle time evaluate overlapping
+// ranges of steps. Within the overlap only one of them is the home, so they are
+// never both the settled home of a hash at the same time. A node that becomes
+// the home through a step is the settled home only after another settle time;
 // until then it has to query the candidates, and holders register with it.
 // Settled ignores steps, because a step changes neither the members nor the
 // flows that they hold. HomeSets returns the home sets of each step within the
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -32,7 +32,7 @@
 // warmupView keeps the whole view of a service while a member warms up.
 type warmupView struct {
 	view     model.ServiceView
-	nextStep int64 // Unix nanoseconds of the next weight change
+	nextStep time.Time // of the next weight change
 }
 
 // live reports whether a member may hold flows.
@@ -63,14 +63,13 @@
 
 // refreshWeights recomputes the weights when the next warm-up step is due.
 func (r *Router) refreshWeights(now time.Time, s *service) {
-	if s.warmupView != nil && now.UnixNano() >= s.warmupView.nextStep {
+	if s.warmupView != nil && !now.Before(s.warmupView.nextStep) {
 		r.updateWeights(now, s)
 	}
 }
 
 // updateWeights computes the effective weights. The fingerprint does not cover them (see package
-// placement): agents compare it with their own, and nodes whose clocks differ reach a warm-up step
-// at different times.
+// placement): agents compare it with their own, and nodes reach a warm-up step at different times.
 func (r *Router) updateWeights(now time.Time, s *service) {
 	v := s.warmupView.view
 	var nextStep time.Time
@@ -93,7 +92,7 @@
 	if nextStep.IsZero() {
 		s.warmupView = nil
 	} else {
-		s.warmupView.nextStep = nextStep.UnixNano()
+		s.warmupView.nextStep = nextStep
 	}
 }
 
--- a/internal/strategy/warmup/warmup.go
+++ b/internal/strategy/warmup/warmup.go
@@ -38,8 +38,7 @@
 }
 
 // stepsTaken returns the number of weight changes since the start, which is Steps
-// after the warm-up. A start time in the future, which a member with a fast clock
-// advertises, is treated as now.
+// after the warm-up. A start time in the future is treated as now.
 func stepsTaken(started time.Time, warmup time.Duration, now time.Time) int {
 	if started.IsZero() || warmup <= 0 {
 		return Steps
