flows: a home remembers who opens a flow while the time of day steps

An agent that was asked about a flow, or that handed a new flow to another agent, remembers the other as its holder for 10 s, until the registration arrives. When its clock stepped ahead by that much, it forgot at once, and a copy of the opening packet made it open the flow a second time: the caller's connection breaks. When the clock stepped back it kept an agent that had given up, and openings went there in vain for longer by the step.

Cause: entries expired at a time of day in Unix nanoseconds.

Change: entries expire at a steady time since the first step of the core.

--- a/internal/flows/core.go
+++ b/internal/flows/core.go
@@ -63,7 +63,8 @@
 	table   *placement.Table
 	hasView bool
 	leaving bool
-	actions []Action // result of the current Step
+	origin  time.Time // of the first Step
+	actions []Action  // result of the current Step
 
 	held       flowTable[heldFlow]
 	exceptions flowTable[exception]
@@ -137,6 +138,9 @@
 // valid until the next call. now must not decrease.
 func (c *Core) Step(now time.Time, ev Event) []Action {
 	c.actions = c.actions[:0]
+	if c.origin.IsZero() {
+		c.origin = now
+	}
 	switch ev := ev.(type) {
 	case Packet:
 		c.onPacket(now, ev)
--- a/internal/flows/exceptions.go
+++ b/internal/flows/exceptions.go
@@ -26,7 +26,7 @@
 type exception struct {
 	holder     model.NodeID
 	inc        model.Incarnation // of the holder; 0 if not known yet
-	expires    int64             // Unix time in ns; 0 for a registration
+	expires    time.Duration     // since Core.origin; 0 for a registration
 	registered bool              // the holder registered the flow here
 	assigned   bool              // this agent assigned the flow to the holder; not registered yet
 	inView     bool              // the holder has been in the view
@@ -50,7 +50,7 @@
 // left the view nor restarted. It records the incarnation of a holder that appears in
 // the view for the first time.
 func (c *Core) isValid(now time.Time, e *exception) bool {
-	if e.expires != 0 && now.UnixNano() >= e.expires {
+	if e.expires != 0 && now.Sub(c.origin) >= e.expires {
 		return false
 	}
 	m, ok := c.table.Member(e.holder)
@@ -82,7 +82,7 @@
 		ttl = learnedTTL
 	}
 	if ttl != 0 && (!registered || !inView) {
-		e.expires = now.Add(ttl).UnixNano()
+		e.expires = now.Sub(c.origin) + ttl
 	}
 	return e
 }
@@ -126,7 +126,7 @@
 			continue
 		}
 		if s.value.registered && s.value.expires == 0 && !c.isRegistrationHome(now, hash, s.value.holder) {
-			s.value.expires = now.Add(learnedTTL).UnixNano()
+			s.value.expires = now.Sub(c.origin) + learnedTTL
 			s.value.registered = false
 		}
 	}
--- a/internal/flows/golden_test.go
+++ b/internal/flows/golden_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/standin/clock"
 	"github.com/matryer/is"
 )
 
@@ -20,6 +21,8 @@
 type session struct {
 	core        *Core
 	now         time.Duration
+	clock       *clock.Clock
+	clockAt     time.Duration // value of now up to which the clock was advanced
 	ref         Ref
 	text        strings.Builder
 	lastActions string // actions of the last event, as text
@@ -29,7 +32,7 @@
 // and the address addr(0).
 func newSession(opt Options) *session {
 	opt.Self, opt.Service = "t0", "s"
-	s := &session{core: New(opt)}
+	s := &session{core: New(opt), clock: clock.New(epoch)}
 	s.view(1, addr(0))
 	s.advance(31 * time.Second)
 	s.text.Reset()
@@ -46,7 +49,9 @@
 		name += "}"
 	}
 	s.lastActions = ""
-	for _, a := range s.core.Step(epoch.Add(s.now), ev) {
+	s.clock.Advance(s.now - s.clockAt)
+	s.clockAt = s.now
+	for _, a := range s.core.Step(s.clock.Now(), ev) {
 		if send, ok := a.(Send); ok {
 			s.lastActions += fmt.Sprintf("    Send{To:%s %T%+v}\n", send.To, send.Msg, send.Msg)
 			continue
