route: answers about moved flows last while the time of day steps

For 30 s after an address moved between services, and as long as targets of its former service hold flows there, a balancer asks these targets and remembers the answer. After its clock stepped back, every packet of such a flow was looked up again until the clock had caught up: one more round trip for each packet, and with more than 1,024 lookups at once packets were dropped (asks_full). After a step ahead a fresh answer was not used.

Cause: a hint's age, and whether it is older than the move, were taken from Unix nanoseconds.

Before the change the second packet of an answered flow was looked up again.

Change: a hint stores the steady time since the first hint; an entry is still 24 bytes.

--- a/internal/route/hints.go
+++ b/internal/route/hints.go
@@ -18,15 +18,16 @@
 // two flows collide, one of them takes an extra hop. The holder is looked up among the targets of
 // the packet's own service, so a collision never sends a packet to another service.
 type hint struct {
-	flow    uint64 // hash of the flow; 0 if the entry is empty
-	holder  uint64 // hash of the NodeID, or noHolder
-	learned int64  // Unix nanoseconds
+	flow    uint64        // hash of the flow; 0 if the entry is empty
+	holder  uint64        // hash of the NodeID, or noHolder
+	learned time.Duration // see hintTable.time; 0 if the entry is empty
 }
 
 // hintTable is a set-associative table of fixed size.
 type hintTable struct {
 	entries []hint
 	sets    uint64
+	origin  time.Time // of the first hint
 }
 
 // newHintTable returns a table for capacity flows. It has 1.5 entries for each flow, so that few
@@ -53,9 +54,15 @@
 	return nil
 }
 
+// time returns a time as it is stored in hints, at least 1 for the time of a hint.
+func (t *hintTable) time(now time.Time) time.Duration { return now.Sub(t.origin) + 1 }
+
 // put stores the hint for a flow. It replaces the flow's previous hint, else an empty entry, else
 // the oldest hint of the set.
 func (t *hintTable) put(flow, holder uint64, now time.Time) {
+	if t.origin.IsZero() {
+		t.origin = now
+	}
 	set := t.set(flow)
 	victim := &set[0]
 	for i := range set {
@@ -66,7 +73,7 @@
 			victim = h // an empty entry is older than any hint
 		}
 	}
-	*victim = hint{flow: flow, holder: holder, learned: now.UnixNano()}
+	*victim = hint{flow: flow, holder: holder, learned: t.time(now)}
 }
 
 // remove deletes the hint for a flow.
--- a/internal/route/moves.go
+++ b/internal/route/moves.go
@@ -188,9 +188,8 @@
 // 5-tuple of a flow that has ended there. A hint cannot distinguish the two, so every opening
 // packet is looked up, and the answer replaces the hint for the packets that follow.
 func (r *Router) routeMoved(now time.Time, addr address, hash uint64, opening bool) Decision {
-	if h := r.hints.get(hash); !opening && h != nil && h.learned >= addr.move.since.UnixNano() {
-		age := now.UnixNano() - h.learned
-		fresh := age >= 0 && age <= int64(r.opts.AnswerTTL)
+	if h := r.hints.get(hash); !opening && h != nil && h.learned >= r.hints.time(addr.move.since) {
+		fresh := r.hints.time(now)-h.learned <= r.opts.AnswerTTL
 		if h.holder == noHolder && fresh {
 			return r.forwardHome(now, addr.owner, hash, false)
 		}
