flows: a holder that raises its incarnation registers its flows again

After the clock of its VM went back between two starts, an agent may open flows until it hears of its earlier process and raises its incarnation. Homes then take it for restarted and drop its registrations. In a service of more than eight targets a lookup asks only the eight that rank first, so a flow held elsewhere would be reset while its target serves.

Cause: a holder registers again when a home changes or restarts, not when it changes itself. Homes also acknowledge and ignore a registration of the lower incarnation.

Change: raising the incarnation starts a rescan that registers all held flows.

--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -45,7 +45,7 @@
 	view      model.ServiceView
 }
 
-func newDriver(b *testing.B, held int) *driver {
+func newDriver(b testing.TB, held int) *driver {
 	b.Helper()
 	member := func(id model.NodeID, kind model.Kind, host byte) model.Member {
 		return model.Member{ID: id, Kind: kind, DC: "dc1", Incarnation: 1, Seq: 1, State: model.StateActive, Weight: 1, Slots: 3, MaxFlows: 100000,
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -229,6 +229,7 @@
 	if inc := c.announcer.Self().Incarnation; inc != c.incarnation {
 		c.incarnation = inc
 		c.out = append(c.out, Incarnation{Incarnation: inc})
+		c.stepFlows(flows.IncarnationRaised{})
 	}
 }
 
--- a/internal/flows/core.go
+++ b/internal/flows/core.go
@@ -156,6 +156,8 @@
 		c.onLeave(now)
 	case LoadChanged:
 		c.load.Busy, c.load.Queued = ev.Load.Busy, ev.Load.Queued
+	case IncarnationRaised:
+		c.registerAgain(now)
 	case Tick:
 		if now.Sub(c.lastTick) >= tickInterval {
 			c.lastTick = now
--- a/internal/flows/events.go
+++ b/internal/flows/events.go
@@ -52,18 +52,23 @@
 // the core counts the flows itself.
 type LoadChanged struct{ Load model.Load }
 
+// IncarnationRaised reports that this agent raised its incarnation above one that peers
+// know, so that they treat it as restarted.
+type IncarnationRaised struct{}
+
 // Tick triggers periodic work. It is due every 50 ms; a late Tick delays retries,
 // registrations and load reports.
 type Tick struct{}
 
-func (Packet) flowsEvent()      {}
-func (Message) flowsEvent()     {}
-func (ViewChanged) flowsEvent() {}
-func (Contact) flowsEvent()     {}
-func (Closed) flowsEvent()      {}
-func (Leave) flowsEvent()       {}
-func (LoadChanged) flowsEvent() {}
-func (Tick) flowsEvent()        {}
+func (Packet) flowsEvent()            {}
+func (Message) flowsEvent()           {}
+func (ViewChanged) flowsEvent()       {}
+func (Contact) flowsEvent()           {}
+func (Closed) flowsEvent()            {}
+func (Leave) flowsEvent()             {}
+func (LoadChanged) flowsEvent()       {}
+func (IncarnationRaised) flowsEvent() {}
+func (Tick) flowsEvent()              {}
 
 // Action is an output of the core.
 type Action interface{ flowsAction() }
--- a/internal/flows/register.go
+++ b/internal/flows/register.go
@@ -140,6 +140,17 @@
 	}
 }
 
+// registerAgain registers all held flows anew. The homes drop entries of an earlier
+// incarnation of the holder.
+func (c *Core) registerAgain(now time.Time) {
+	for i := range c.held.slots {
+		if s := &c.held.slots[i]; s.used {
+			s.value.homes = [2]registration{}
+		}
+	}
+	c.rescanPos, c.rescanStarted = 0, now
+}
+
 func (c *Core) queueRelease(r registration, f model.Flow) {
 	p := c.peers[r.id]
 	if p == nil || p.inc != r.inc {
