membership: relays' reports about a data centre stay in order when clocks step

After the clocks of two relays stepped back between two reports, their own reports and those that others got from them were ignored until the clocks had caught up or the old report expired after 15 s. The targets of a data centre that was reachable again got no new flows for so long, and flows still went to one that was not.

Cause: a report's sequence was the time of day in ms.

Evidence: a history of two data centres whose link is cut and restored while the clocks of one step 20 s back, twice, and 40 s ahead, three times over.

Change: the sequence is the incarnation of the relay and a count within it.

--- a/internal/gossip/clock_test.go
+++ b/internal/gossip/clock_test.go
@@ -167,3 +167,57 @@
 	}
 	n.is.Equal(known, len(n.all)*6)
 }
+
+// Guards against targets of a whole data centre that get no flows, or flows that they can't receive,
+// for 15 s, because the clocks of the relays that report about it went back between two reports.
+func TestHistoryReachabilityOfADataCentreIsKnownWhileClocksStep(t *testing.T) {
+	n := &vms{is: is.New(t), cut: map[[2]model.DataCentre]bool{}}
+	var local []*vm
+	for i := range 6 {
+		b := n.addBalancer(i, dcs[i%2], 0)
+		if i%2 == 0 {
+			local = append(local, b)
+		}
+	}
+	n.addAgent(0, dcs[1], 0)
+	n.run(5*time.Second, func() {})
+	stateKnownTo := func(v *vm) model.State {
+		for _, m := range v.members() {
+			if m.Kind == model.KindAgent {
+				return m.State
+			}
+		}
+		return 0
+	}
+	within := func(limit time.Duration, want model.State) {
+		t.Helper()
+		n.run(limit, func() {})
+		for _, v := range local {
+			if got := stateKnownTo(v); got != want {
+				t.Fatalf("after %v, %s has the agent as %v, want %v", n.now, v.self.ID, got, want)
+			}
+		}
+	}
+	step := func(d time.Duration) {
+		for _, v := range local {
+			v.Step(d)
+		}
+	}
+	setCut := func(cut bool) {
+		n.cut[[2]model.DataCentre{dcs[0], dcs[1]}], n.cut[[2]model.DataCentre{dcs[1], dcs[0]}] = cut, cut
+	}
+	within(time.Second, model.StateActive)
+	for range 3 {
+		setCut(true)
+		within(10*time.Second, model.StateSuspect)
+		step(-20 * time.Second)
+		setCut(false)
+		within(3*time.Second, model.StateActive)
+		step(-20 * time.Second)
+		setCut(true)
+		within(10*time.Second, model.StateSuspect)
+		step(40 * time.Second)
+		setCut(false)
+		within(3*time.Second, model.StateActive)
+	}
+}
--- a/internal/membership/reachability.go
+++ b/internal/membership/reachability.go
@@ -13,6 +13,7 @@
 	reachabilityInterval = 5 * time.Second  // between repeated reports that a data centre is unreachable
 	reachabilityLifetime = 15 * time.Second // of a report that is not repeated
 	unreachableQuorum    = 2                // relays that must report a data centre as unreachable
+	reportSeqBits        = 20               // lower bits of the sequence of a report, which count within an incarnation
 )
 
 // reachabilityTable holds what this node and the relays of its data centre know
@@ -25,6 +26,8 @@
 	dcs     []dcState     // of the other data centres, in order
 	reports []relayReport // in order of the first report of each relay and data centre
 	queue   *gossip.Queue[message.DCReachability]
+
+	reportCount uint64 // own reports
 }
 
 type dcState struct {
@@ -152,10 +155,17 @@
 	}
 	c.reported, c.nextReport = unreachable, o.now.Add(reachabilityInterval)
 	o.mergeReachability([]message.DCReachability{{
-		Relay: o.sender.self.ID, DC: c.dc, Seq: uint64(o.now.UnixMilli()), Unreachable: unreachable,
+		Relay: o.sender.self.ID, DC: c.dc, Seq: o.nextReportSeq(), Unreachable: unreachable,
 	}})
 }
 
+// nextReportSeq returns a number above those of all earlier reports of this node: the
+// incarnation is above those of its earlier processes.
+func (o *Observer) nextReportSeq() uint64 {
+	o.reachability.reportCount++
+	return uint64(o.sender.self.Incarnation)<<reportSeqBits + o.reachability.reportCount
+}
+
 // dcReachabilityChanged reports all members of a data centre again.
 func (o *Observer) dcReachabilityChanged(dc model.DataCentre) {
 	for e := range o.members.All() {
