keys: at most one run of a key while clocks of agents step by 20 s

A keyed request could run twice after both homes of its key had restarted while the clock of one was wrong by more than 10 s. And a caller could be told that its request was not run although it had run, after the clock of the agent stepped back: it then sends the request under a new key, and it runs twice.

Cause: a key's age is its time, by the caller's clock, against the time of day of an agent, whose difference to that of other agents was assumed to be at most 5 s. A key whose time is ahead of the agent's clock, and any key before the opening of a service by that clock, was refused as not run. The check for a clock that goes back saw nothing: it compared steady times.

Change: the bound is a setting of the core, 40 s by default, for two clocks that are wrong by 20 s in opposite directions, apart from the 5 s by which a key may be ahead. Coverage, the lifetime of records and the opening of a service allow for it. A key that is ahead of the clock, or before the opening, by less than the bound is refused as unknown. The demo, whose agents share a clock, sets 1 ms.

The other histories are unchanged with the former bound, which their set-up now states; the settled simulation opens at 12 s instead of 10 s, because its views must settle that bound before the opening.

--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -28,6 +28,8 @@
 	// keyedRequestsDelay is the time until a new deployment accepts keyed requests.
 	// By then the views have converged and each home covers all of its keys.
 	keyedRequestsDelay = 8 * time.Second
+	// oneHostClockSkew is the difference between the clocks of two agents of a demo.
+	oneHostClockSkew = time.Millisecond
 )
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
@@ -242,7 +244,7 @@
 			RequestAddr: anyPort, Slots: slotsPerTarget, MaxFlows: flowsPerTarget, Weight: 1, Started: now,
 		},
 		Seeds: c.seedAddrs(), Keys: [][]byte{c.key}, Seed: c.nextSeed(), ReturnAddr: c.Fabric.ReturnAddr(), Target: h.target.URL(),
-		Keepalive: c.Spec.Keepalive, KeysOpen: c.keysOpenAt,
+		Keepalive: c.Spec.Keepalive, KeysOpen: c.keysOpenAt, KeyClockSkew: oneHostClockSkew,
 		Metrics: c.metrics, Logger: c.logger.With("node", id),
 	})
 	if err != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -72,6 +72,9 @@
 	// KeysOpen is a time before which no request of the service can have run, or
 	// zero if none is known; see keys.Options.Opens.
 	KeysOpen time.Time
+	// KeyClockSkew bounds the difference between the clocks of two agents; see
+	// keys.Options.MaxClockSkew, which has the default.
+	KeyClockSkew time.Duration
 	// MACKeys returns the keys that authenticate moved requests. The first one signs
 	// and all of them verify, which allows key rotation.
 	MACKeys func() [][]byte
@@ -158,7 +161,10 @@
 		}),
 	}
 	if opts.Homes != nil {
-		f.keys = keys.New(keys.Options{Self: opts.Self, Service: opts.Service, Homes: opts.Homes, Opens: opts.KeysOpen, MaxAttempts: opts.MaxRequests})
+		f.keys = keys.New(keys.Options{
+			Self: opts.Self, Service: opts.Service, Homes: opts.Homes, Opens: opts.KeysOpen,
+			MaxClockSkew: opts.KeyClockSkew, MaxAttempts: opts.MaxRequests,
+		})
 	}
 	f.events = ring.New[requestEvent](eventsPerRequest*opts.MaxRequests, func() { f.count("front_events_dropped", "request") })
 	f.incoming = ring.New[peerMessage](peerMessageBuffer, func() { f.count("front_events_dropped", "peer_message") })
--- a/internal/keys/core.go
+++ b/internal/keys/core.go
@@ -22,9 +22,10 @@
 	bucketCount = 1024
 	// homesPerKey is the number of agents that store a record.
 	homesPerKey = 2
-	// maxClockSkew bounds the difference between the clocks of two agents, and how far the time of a
-	// key may be ahead of an agent's clock.
-	maxClockSkew = 5 * time.Second
+	// maxKeyAhead is how far the time of a key may be ahead of the clock of an agent that grants it.
+	maxKeyAhead = 5 * time.Second
+	// defaultClockSkew admits two agents whose times of day are wrong by 20 s in opposite directions.
+	defaultClockSkew = 40 * time.Second
 	// maxStepGap is the longest gap between two steps after which the core still trusts its view.
 	// Ticks come every second.
 	maxStepGap   = 2500 * time.Millisecond
@@ -51,7 +52,10 @@
 	Settle    time.Duration // time after a change until the view is settled; default 5 s
 	// Opens is a time before which no request of the service can have run. An agent that is a home
 	// before that time has coverage of all keys. The zero time means that there is none.
-	Opens          time.Time
+	Opens time.Time
+	// MaxClockSkew bounds the difference between the times of day of two agents, at the same moment
+	// or at different ones; default 40 s. Within it, no key runs twice.
+	MaxClockSkew   time.Duration
 	MaxRecords     int // default 200,000
 	MaxAnswer      int // bytes of one stored answer; default 32 KB
 	MaxAnswerBytes int // bytes of all stored answers; default 64 MB
@@ -110,6 +114,9 @@
 	if opts.Settle <= 0 {
 		opts.Settle = defaultSettle
 	}
+	if opts.MaxClockSkew <= 0 {
+		opts.MaxClockSkew = defaultClockSkew
+	}
 	return &Core{
 		opts:              opts,
 		members:           make(map[model.NodeID]model.Member),
@@ -146,15 +153,15 @@
 	return c.actions
 }
 
-// detectStepGap drops the coverage after a gap between steps or a backward jump of the clock: the
-// view may have changed, and other agents may have run keys without this home.
+// detectStepGap drops the coverage after a gap between steps: the view may have changed, and other
+// agents may have run keys without this home.
 func (c *Core) detectStepGap() {
 	if c.lastStep.IsZero() {
 		c.lastViewChange = c.now
 		c.lastID = uint64(c.now.UnixMilli()) << 20 // keeps IDs increasing across restarts
 		return
 	}
-	if c.now.Sub(c.lastStep) > maxStepGap || c.now.Before(c.lastStep.Add(-maxClockSkew)) {
+	if c.now.Sub(c.lastStep) > maxStepGap {
 		c.dropCoverage()
 		c.viewUntrustedUntil = c.now.Add(c.opts.Settle)
 	}
--- a/internal/keys/coverage.go
+++ b/internal/keys/coverage.go
@@ -35,18 +35,18 @@
 
 // rulesOutRun reports whether a key without a record certainly has not run.
 //
-// Homes grant a key with a timestamp no earlier than that time, less the clock skew, and keep its
-// record for the retention after it. A key without a timestamp is treated as not run once the
-// retention has passed since the start of the coverage.
+// Homes grant a key with a timestamp no earlier than maxKeyAhead before that time, by their clocks,
+// and keep its record for the retention after it. A key without a timestamp is treated as not run
+// once the retention has passed since the start of the coverage.
 func (c *Core) rulesOutRun(b int, issued time.Time) bool {
 	cov := &c.coverage[b]
 	if !cov.known || !cov.isHome {
 		return false
 	}
 	if !issued.IsZero() {
-		return c.now.Sub(issued) <= c.opts.Retention && !issued.Add(-2*maxClockSkew).Before(cov.since)
+		return c.now.Sub(issued) <= c.opts.Retention && !issued.Add(-maxKeyAhead-c.opts.MaxClockSkew).Before(cov.since)
 	}
-	return cov.since.IsZero() || c.now.Sub(cov.since) >= c.opts.Retention+2*maxClockSkew
+	return c.coversRetention(cov)
 }
 
 // dropCoverage drops all coverage until the view has settled again.
@@ -58,6 +58,11 @@
 	}
 }
 
+// certainlyBeforeOpening reports whether the service is not open yet by the clock of any agent.
+func (c *Core) certainlyBeforeOpening() bool {
+	return c.now.Add(c.opts.MaxClockSkew).Before(c.opts.Opens)
+}
+
 // applySettledView updates the coverage once all agents agree on the view. From then on every run
 // of a bucket needs grants of its current homes.
 func (c *Core) applySettledView() {
@@ -69,7 +74,7 @@
 		case c.isHomeOf(b):
 			if !cov.isHome || cov.interrupted || !cov.known {
 				cov.since = c.now
-				if c.now.Before(c.opts.Opens) {
+				if c.certainlyBeforeOpening() {
 					cov.since = time.Time{}
 				}
 			}
@@ -134,7 +139,7 @@
 
 // coversRetention reports whether longer coverage would change no verdict.
 func (c *Core) coversRetention(cov *bucketCoverage) bool {
-	return cov.since.IsZero() || c.now.Sub(cov.since) >= c.opts.Retention+2*maxClockSkew
+	return cov.since.IsZero() || c.now.Sub(cov.since) >= c.recordLifetime()
 }
 
 // pullPeers returns the agents to pull records from.
--- a/internal/keys/home.go
+++ b/internal/keys/home.go
@@ -67,7 +67,7 @@
 	member, known := c.members[from]
 	switch {
 	case !known || c.now.Before(c.viewUntrustedUntil) || m.ViewHash != c.opts.Homes.Fingerprint(),
-		m.Issued.After(c.now.Add(maxClockSkew)):
+		m.Issued.After(c.now.Add(maxKeyAhead)):
 		reply.Verdict = message.KeyRetry
 	case c.recordCount >= c.opts.MaxRecords || c.answerBytes >= c.opts.MaxAnswerBytes:
 		reply.Verdict = message.KeyRetry
@@ -161,10 +161,14 @@
 	return n
 }
 
-// retainUntil returns the time until which a record is kept. It allows for clock skew: a key with a
-// timestamp is granted up to the retention after it, and the record must be kept for longer.
-func (c *Core) retainUntil(r *record) time.Time {
-	return r.Recorded.Add(c.opts.Retention + 2*maxClockSkew)
+// retainUntil returns the time until which a record is kept.
+func (c *Core) retainUntil(r *record) time.Time { return r.Recorded.Add(c.recordLifetime()) }
+
+// recordLifetime returns the time for which a record is kept. A key with a timestamp is granted up
+// to the retention after it by the clock of a home, and may have run maxKeyAhead before it by the
+// clock of another, from which the record may have been pulled.
+func (c *Core) recordLifetime() time.Duration {
+	return c.opts.Retention + maxKeyAhead + 2*c.opts.MaxClockSkew
 }
 
 // handleKeyDone records the end of an attempt. Only the attempt that stored a record can release it,
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -128,7 +128,7 @@
 // newSettledSim returns a simulation without faults whose views have settled after the opening.
 func newSettledSim(agents int) *sim {
 	s := newSim(1, agents)
-	s.opens = s.start.Add(10 * time.Second)
+	s.opens = s.start.Add(12 * time.Second)
 	for i := range s.agents {
 		s.boot(i)
 	}
@@ -147,7 +147,7 @@
 	}
 	o := &send{key: n, call: s.now, agent: i}
 	s.sends = append(s.sends, o)
-	s.step(i, Begin{ID: uint64(len(s.sends) - 1), Key: key, Fingerprint: 7, Deadline: s.now.Add(5 * time.Second)})
+	s.step(i, Begin{ID: uint64(len(s.sends) - 1), Key: key, Fingerprint: 7, Deadline: s.timeAt(i).Add(5 * time.Second)})
 	s.runUntil(s.now.Sub(s.start) + wait)
 	return o
 }
--- a/internal/keys/runner.go
+++ b/internal/keys/runner.go
@@ -72,12 +72,19 @@
 	case len(c.attempts) >= c.opts.MaxAttempts:
 		c.refuse(e.ID, ReasonFull, message.OutcomeUnknown, fullRetryAfter)
 		return
-	case c.now.Before(c.opts.Opens): // no run can precede the opening
-		c.refuse(e.ID, ReasonNotOpen, message.OutcomeNotRun, c.opts.Opens.Sub(c.now))
+	case c.now.Before(c.opts.Opens):
+		outcome := message.OutcomeUnknown
+		if c.certainlyBeforeOpening() { // no run can precede the opening
+			outcome = message.OutcomeNotRun
+		}
+		c.refuse(e.ID, ReasonNotOpen, outcome, c.opts.Opens.Sub(c.now))
 		return
-	case issued.After(c.now.Add(maxClockSkew)):
-		// No home grants a key before its timestamp, so it has not run.
-		c.refuse(e.ID, ReasonTimeAhead, message.OutcomeNotRun, issued.Sub(c.now))
+	case issued.After(c.now.Add(maxKeyAhead)):
+		outcome := message.OutcomeUnknown
+		if issued.After(c.now.Add(maxKeyAhead + c.opts.MaxClockSkew)) { // ahead of the clock of any home
+			outcome = message.OutcomeNotRun
+		}
+		c.refuse(e.ID, ReasonTimeAhead, outcome, issued.Sub(c.now))
 		return
 	}
 	c.lastID++
--- a/internal/keys/sim_test.go
+++ b/internal/keys/sim_test.go
@@ -11,6 +11,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/bulrushshelf/bulrushshelf/internal/message"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/standin/clock"
 )
 
 const simSettle = 5 * time.Second
@@ -88,6 +89,8 @@
 	crashed     bool
 	pausedUntil time.Time
 	nextTick    time.Time
+	clock       *clock.Clock
+	clockAt     time.Time // virtual time up to which the clock was advanced
 }
 
 // send is one send of a key, as its caller sees it.
@@ -113,6 +116,7 @@
 	sends      []*send
 	keys       []string
 	opens      time.Time
+	clockSkew  time.Duration // MaxClockSkew of the agents
 	loss, dup  float64
 	runs       map[int]int // by key
 	totalRuns  int
@@ -128,12 +132,12 @@
 func simID(i int) model.NodeID { return model.NodeID(fmt.Sprintf("agent-%d", i)) }
 
 func newSim(seed uint64, agents int) *sim {
-	s := &sim{seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), start: time.Unix(1_800_000_000, 0), runs: map[int]int{}}
+	s := &sim{seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), start: time.Unix(1_800_000_000, 0), runs: map[int]int{}, clockSkew: 5 * time.Second}
 	s.now = s.start
 	s.view = model.ServiceView{Service: "facturador", Policy: model.DefaultPolicy()}
 	for i := range agents {
 		s.view.Members = append(s.view.Members, model.Member{ID: simID(i), State: model.StateActive, Weight: 1, Incarnation: 1})
-		s.agents = append(s.agents, &simAgent{})
+		s.agents = append(s.agents, &simAgent{clock: clock.New(s.start), clockAt: s.start})
 	}
 	return s
 }
@@ -144,7 +148,7 @@
 	a.incarnation++
 	a.crashed = false
 	a.homes = &fakeHomes{contact: true}
-	a.core = New(Options{Self: simID(i), Service: s.view.Service, Homes: a.homes, Settle: simSettle, Opens: s.opens})
+	a.core = New(Options{Self: simID(i), Service: s.view.Service, Homes: a.homes, Settle: simSettle, Opens: s.opens, MaxClockSkew: s.clockSkew})
 	a.nextTick = time.Time{}
 	s.deliverView(i, s.random(200*time.Millisecond))
 }
@@ -166,7 +170,7 @@
 			return // already has a newer view
 		}
 		a.homes.views = append(a.homes.views, v)
-		a.homes.since = append(a.homes.since, s.now)
+		a.homes.since = append(a.homes.since, s.timeAt(i))
 		s.step(i, ViewChanged{View: v})
 	})
 }
@@ -196,14 +200,22 @@
 	})
 }
 
-func (s *sim) step(i int, ev Event) {
+// timeAt returns the time by the clock of an agent.
+func (s *sim) timeAt(i int) time.Time {
 	a := s.agents[i]
-	for _, act := range slices.Clone(a.core.Step(s.now, ev)) {
+	a.clock.Advance(s.now.Sub(a.clockAt))
+	a.clockAt = s.now
+	return a.clock.Now()
+}
+
+func (s *sim) step(i int, ev Event) {
+	a, now := s.agents[i], s.timeAt(i)
+	for _, act := range slices.Clone(a.core.Step(now, ev)) {
 		s.act(i, act)
 	}
-	if next := a.core.Next(); !a.nextTick.After(s.now) || next.Before(a.nextTick) {
+	if next := a.core.Next(); !a.nextTick.After(now) || next.Before(a.nextTick) {
 		a.nextTick = next
-		s.runAt(i, max(next.Sub(s.now), time.Millisecond), func(a *simAgent) { s.step(i, Tick{}) })
+		s.runAt(i, max(next.Sub(now), time.Millisecond), func(a *simAgent) { s.step(i, Tick{}) })
 	}
 }
 
@@ -286,7 +298,7 @@
 			s.runAt(i, 0, func(a *simAgent) {
 				o := &send{key: n, call: s.now, agent: i, incarnation: a.incarnation}
 				s.sends = append(s.sends, o)
-				s.step(i, Begin{ID: uint64(len(s.sends) - 1), Key: key, Fingerprint: 7, Deadline: s.now.Add(5 * time.Second)})
+				s.step(i, Begin{ID: uint64(len(s.sends) - 1), Key: key, Fingerprint: 7, Deadline: s.timeAt(i).Add(5 * time.Second)})
 			})
 		})
 	}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -56,6 +56,8 @@
 	// KeysOpen is a time before which no request of the service with an idempotency
 	// key can have run; zero if there is none.
 	KeysOpen time.Time
+	// KeyClockSkew bounds the difference between the clocks of two agents; 40 s if 0.
+	KeyClockSkew time.Duration
 	// DrainTimeout bounds the wait for the last flow at a stop; 0 means no bound.
 	DrainTimeout time.Duration
 }
@@ -164,7 +166,8 @@
 		Self: a.opt.Self.ID, Service: a.opt.Self.Service,
 		Listener: a.listener, PeerListener: a.requestListener, Target: a.opt.Target,
 		Slots: a.opt.Self.Slots, Warmup: a.opt.Warmup, Seed: model.Mix(a.opt.Seed + 1),
-		Peers: a, Homes: a.homes, KeysOpen: a.opt.KeysOpen, MACKeys: func() [][]byte { return a.opt.Keys },
+		Peers: a, Homes: a.homes, KeysOpen: a.opt.KeysOpen, KeyClockSkew: a.opt.KeyClockSkew,
+		MACKeys: func() [][]byte { return a.opt.Keys },
 		Metrics: a.opt.Metrics, Logger: a.opt.Logger,
 		ShutdownTimeout: a.opt.DrainTimeout, Kill: a.killed,
 	})
