front: moved requests are accepted while two clocks are wrong by 20 s

A request that an agent moved to another one was refused (403, not-run) while their clocks differed by more than 30 s, although the other had reserved a slot for it. A copy of a moved request could also be accepted a second time: its nonce was kept for 60 s, and a step back of the receiver's clock makes the copy look young for longer.

Cause: the send time of a moved request is the time of day of its sender.

Evidence: two agents with clocks 20 s wrong in opposite directions, both ways, and a receiver whose clock steps by 40 s and back. The test failed before with mac_expired; with the wider window alone it failed because the copy was accepted.

Change: the window is 60 s, and nonces are kept for two windows and a step back of 40 s, up to 160,000 instead of 60,000 of them (1,000 moved requests a second).

Result: the test passes. A clock that is wrong by more is still refused.

--- a/internal/front/peer.go
+++ b/internal/front/peer.go
@@ -27,11 +27,16 @@
 
 const (
 	// moveWindow is the largest accepted difference between the send time of a moved
-	// request and the local clock. It covers the clock skew between two agents.
-	moveWindow = 30 * time.Second
+	// request and the local clock. It covers two clocks that are wrong by 20 s in opposite
+	// directions.
+	moveWindow = time.Minute
+	// maxClockStep bounds how far the local clock goes back after a moved request.
+	maxClockStep = 40 * time.Second
+	// nonceLifetime is how long a moved request may still be within moveWindow.
+	nonceLifetime = 2*moveWindow + maxClockStep
 	// maxNonces is the capacity of the nonce cache. It is reached at 1,000 moved requests
-	// per second, since a nonce is kept for twice moveWindow.
-	maxNonces = 60000
+	// per second.
+	maxNonces = 160000
 )
 
 // signMoved adds the header fields that authenticate a moved request. The MAC covers the
@@ -115,7 +120,7 @@
 	return netip.AddrPort{}, false
 }
 
-// nonceCache stores the nonces of moved requests for twice moveWindow, so that no request is
+// nonceCache stores the nonces of moved requests for nonceLifetime, so that no request is
 // accepted twice.
 type nonceCache struct {
 	mu    sync.Mutex
@@ -135,7 +140,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	expired := 0
-	for expired < len(c.order) && now.Sub(c.order[expired].receivedAt) > 2*moveWindow {
+	for expired < len(c.order) && now.Sub(c.order[expired].receivedAt) > nonceLifetime {
 		delete(c.seen, c.order[expired].nonce)
 		expired++
 	}
