agent, node: a raised incarnation is in force before messages under it are sent

After its clock went back, a process sent its first messages of the raised incarnation sealed under the refused one now and then, so that they were refused again and repeated after 200 ms.

Cause: the runtime sets the incarnation of the codec after it has queued the messages of the same step, which another goroutine seals.

Evidence: a step of the agent's core that hears of a higher incarnation; before the change its heartbeat preceded the raise.

Change: agent and balancer set the incarnation first.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -217,7 +217,13 @@
 
 // stepAnnouncer steps the membership core.
 func (c *Core) stepAnnouncer(ev membership.Event) {
-	for _, a := range slices.Clone(c.announcer.Step(c.now, ev)) {
+	actions := slices.Clone(c.announcer.Step(c.now, ev))
+	if inc := c.announcer.Self().Incarnation; inc != c.incarnation {
+		c.incarnation = inc
+		c.out = append(c.out, Incarnation{Incarnation: inc}) // before messages under it
+		c.stepFlows(flows.IncarnationRaised{})
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case membership.Send:
 			c.out = append(c.out, Send(a))
@@ -226,11 +232,6 @@
 		case membership.ObserverCountChanged:
 		}
 	}
-	if inc := c.announcer.Self().Incarnation; inc != c.incarnation {
-		c.incarnation = inc
-		c.out = append(c.out, Incarnation{Incarnation: inc})
-		c.stepFlows(flows.IncarnationRaised{})
-	}
 }
 
 // updateSlice replaces the members and the view, and reports drains by decision file.
--- a/internal/agent/incarnation_test.go
+++ b/internal/agent/incarnation_test.go
@@ -10,6 +10,16 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 )
 
+// Guards against messages that are sealed under the lower incarnation and refused again, which delays
+// the return of the target until the next heartbeat.
+func TestIncarnationIsRaisedBeforeMessagesAreSent(t *testing.T) {
+	is := is.New(t)
+	s := newDriver(t, 1)
+	out := s.core.Step(s.now, Received{From: "b1", Incarnation: 1, Msg: message.Superseded{Incarnation: 70}})
+	is.True(len(out) > 1) // with a heartbeat
+	is.Equal(out[0], Action(Incarnation{Incarnation: 71}))
+}
+
 // registeredIn returns the flows that the agent registers within d. Each batch is acknowledged.
 func (s *driver) registeredIn(d time.Duration) map[model.Flow]bool {
 	out := map[model.Flow]bool{}
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -292,7 +292,13 @@
 }
 
 func (b *Balancer) stepCore(ctx context.Context, g *errgroup.Group, ev balancer.Event) {
-	for _, a := range b.core.Step(time.Now(), ev) {
+	actions := b.core.Step(time.Now(), ev)
+	if inc := b.core.Self().Incarnation; inc > b.incarnation {
+		b.incarnation = inc
+		b.transport.codec.SetIncarnation(inc) // before messages under it
+		b.opt.Logger.Info("incarnation raised", "reason", "earlier process had a higher one", "incarnation", inc)
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case balancer.List:
 			b.store.startListing(ctx, g)
@@ -310,11 +316,6 @@
 			b.execute(a)
 		}
 	}
-	if inc := b.core.Self().Incarnation; inc > b.incarnation {
-		b.incarnation = inc
-		b.transport.codec.SetIncarnation(inc)
-		b.opt.Logger.Info("incarnation raised", "reason", "earlier process had a higher one", "incarnation", inc)
-	}
 }
 
 func (b *Balancer) execute(a balancer.Action) {
