passthrough: the exit of an earlier start of a target ends no flows

What callers would see: resets of open flows. An agent that had restarted took the first announced exit, also a late one of an earlier start, for the exit of its running target, and then denied all flows that it had not seen. After the first heartbeat, a late exit under the same identity did the same.

Cause: exits were compared by identity only, and not at all before the first heartbeat; the start in the body of the call was not read.

TestLateExitOfAnEarlierStartEndsNoFlows covers both cases.

Change: an exit names the start that ends, and has effect if that is the one in effect. Before the first heartbeat it only stops new flows until one arrives.

--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -96,9 +96,9 @@
 }
 
 // HandleTargetExit handles the target's announcement that it exits.
-func (a *Agent) HandleTargetExit(ctx context.Context, target string) error {
+func (a *Agent) HandleTargetExit(ctx context.Context, e passthrough.Exit) error {
 	return a.loop.call(ctx, func(now time.Time) {
-		a.execute(now, a.core.HandleTargetExit(now, target))
+		a.execute(now, a.core.HandleTargetExit(now, e))
 		if a.core.State() == steerwire.TargetGone {
 			select {
 			case <-a.targetExited:
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -120,7 +120,7 @@
 	}{
 		{"ready", func(*Core) {}, syn(1), 0},
 		{"draining", func(c *Core) { h := heartbeat(2); h.Draining = true; c.HandleHeartbeat(start, h) }, syn(1), steerwire.ReasonDraining},
-		{"gone", func(c *Core) { c.HandleTargetExit(start, "t1") }, syn(1), steerwire.ReasonDraining},
+		{"gone", func(c *Core) { c.HandleTargetExit(start, Exit{Target: "t1"}) }, syn(1), steerwire.ReasonDraining},
 		{"leaving", func(c *Core) { c.Leave(start) }, syn(1), steerwire.ReasonDraining},
 		{"silent", func(c *Core) { c.Tick(ms(3500)) }, syn(1), steerwire.ReasonSilent},
 		{"full", func(c *Core) {
@@ -189,9 +189,9 @@
 	v, _ := c.HandleHeartbeat(ms(1500), restarted)
 	is.Equal(v, Accepted)
 	is.Equal(c.State(), steerwire.TargetReady)
-	c.HandleTargetExit(ms(1500), "t0")
+	c.HandleTargetExit(ms(1500), Exit{Target: "t0"})
 	is.Equal(c.State(), steerwire.TargetReady)
-	c.HandleTargetExit(ms(1500), "t1")
+	c.HandleTargetExit(ms(1500), Exit{Target: "t1"})
 	late := restarted
 	late.Sequence = 4
 	v, _ = c.HandleHeartbeat(ms(1510), late)
--- a/internal/passthrough/pause_test.go
+++ b/internal/passthrough/pause_test.go
@@ -64,7 +64,7 @@
 	is := is.New(t)
 	c := newReadyCore()
 	openFlow(c, ms(1), 1)
-	c.HandleTargetExit(ms(10), "t1")
+	c.HandleTargetExit(ms(10), Exit{Target: "t1"})
 	c.Leave(ms(20))
 	r, ok := reported(c.End(ms(21)))
 	is.True(ok)
--- a/internal/passthrough/starts_test.go
+++ b/internal/passthrough/starts_test.go
@@ -171,7 +171,7 @@
 func TestRunningTargetIsReadyAgainAfterALateExit(t *testing.T) {
 	is := is.New(t)
 	c := newReadyCore()
-	c.HandleTargetExit(ms(100), "t1")
+	c.HandleTargetExit(ms(100), Exit{Target: "t1"})
 	for seq := uint64(2); seq <= 4; seq++ {
 		c.HandleHeartbeat(ms(1000*int(seq)), heartbeat(seq))
 	}
@@ -210,3 +210,21 @@
 	is.Equal(c.Report(ms(3600)).TargetStartMillis, heartbeat(1).StartMillis)
 	is.Equal(c.flowStatus(flowOf(1), 0), steerwire.Unsure)
 }
+
+// Guards against resets of open flows by the late exit of an earlier start, which arrives before
+// the first heartbeat that a restarted agent hears, or has the identity of the present one.
+func TestLateExitOfAnEarlierStartEndsNoFlows(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	c.HandleTargetExit(ms(5), Exit{Target: "t0", StartMillis: 7})
+	is.Equal(c.flowStatus(flowOf(1), 0), steerwire.Unsure)
+	is.Equal(refusal(forward(c, ms(6), syn(2))), steerwire.ReasonDraining)
+	c.HandleHeartbeat(ms(10), heartbeat(7))
+	is.Equal(c.State(), steerwire.TargetReady)
+
+	c.HandleTargetExit(ms(20), Exit{Target: "t1", StartMillis: heartbeat(7).StartMillis - 9000})
+	is.Equal(c.State(), steerwire.TargetReady)
+	is.Equal(c.flowStatus(flowOf(1), 0), steerwire.Unsure)
+	c.HandleTargetExit(ms(30), Exit{Target: "t1", StartMillis: heartbeat(7).StartMillis})
+	is.Equal(c.State(), steerwire.TargetGone)
+}
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -228,14 +228,26 @@
 	return c.actions
 }
 
-// HandleTargetExit handles the target's announcement that it exits.
-func (c *Core) HandleTargetExit(now time.Time, target string) []Action {
+// Exit is a target's announcement that it exits.
+type Exit struct {
+	Target      string
+	StartMillis int64 // of the start that exits, 0 if it is not given
+}
+
+// HandleTargetExit handles the announcement of an exit. Before the first heartbeat it may
+// be a late one of an earlier start, so the target only gets no new flows until then.
+func (c *Core) HandleTargetExit(now time.Time, e Exit) []Action {
 	c.actions = c.actions[:0]
-	if c.heartbeatReceived && target != c.target.Target {
+	switch {
+	case !c.heartbeatReceived:
+		c.target.Draining = true
+		c.count(CounterHeartbeats, "unconfirmed_leave")
+		c.setState(now, steerwire.TargetDraining, "unconfirmed_leave")
+	case e.Target != c.target.Target || e.StartMillis != 0 && e.StartMillis != c.target.StartMillis:
 		c.count(CounterHeartbeats, "foreign_leave")
-		return c.actions
+	default:
+		c.setState(now, steerwire.TargetGone, "leave")
 	}
-	c.setState(now, steerwire.TargetGone, "leave")
 	return c.actions
 }
 
--- a/internal/steersim/latetargets_test.go
+++ b/internal/steersim/latetargets_test.go
@@ -43,7 +43,9 @@
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		s, a, earlier := simWithRestartedTarget(t, seed, false)
 		a.restart()
-		s.after(processRestartTime+time.Millisecond, func() { a.execute(a.core.HandleTargetExit(s.clock(a.addr), earlier.Target)) })
+		s.after(processRestartTime+time.Millisecond, func() {
+			a.execute(a.core.HandleTargetExit(s.clock(a.addr), passthrough.Exit{Target: earlier.Target, StartMillis: earlier.StartMillis}))
+		})
 		s.run(8 * time.Second) // reset checks that no running target holds the flow
 	})
 }
@@ -53,7 +55,7 @@
 func TestFaultLateExitOfATargetWithTheSameIdentity(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		s, a, earlier := simWithRestartedTarget(t, seed, true)
-		a.execute(a.core.HandleTargetExit(s.clock(a.addr), earlier.Target))
+		a.execute(a.core.HandleTargetExit(s.clock(a.addr), passthrough.Exit{Target: earlier.Target, StartMillis: earlier.StartMillis}))
 		s.run(5 * time.Second)
 		h := &history{sim: s}
 		h.checkAllTargetsGetFlows()
--- a/internal/steersim/processes_test.go
+++ b/internal/steersim/processes_test.go
@@ -122,7 +122,7 @@
 		t.exited = true
 		s.whenAwake(a.addr, func() {
 			if a.core != nil {
-				a.execute(a.core.HandleTargetExit(s.clock(a.addr), t.id))
+				a.execute(a.core.HandleTargetExit(s.clock(a.addr), passthrough.Exit{Target: t.id, StartMillis: t.startMillis}))
 			}
 		})
 		a.stop(func() {
