passthrough, steer: a target that is silent does not keep a probe

Cause: an agent took a probe that was not bounced within 50 ms for accepted. A target that has crashed, or is paused, bounces nothing, so its agent answered Held and the lookup ended there.

Change: a probe counts as accepted only if the target has sent a packet or a heartbeat since, and otherwise 50 ms after it is heard again. Until then the agent answers Unsure, and a lookup probes the other agents before it comes back to this one.

steer, passthrough and the tests of restarts and histories in steersim pass.

--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -68,7 +68,7 @@
 		// bounces the packet if it does not.
 		f = &flow{phase: phaseProbing, balancer: from, createdAt: now, lastSeen: now}
 		c.flows[s.Flow] = f
-		c.deliveredProbes = append(c.deliveredProbes, deliveredPacket{flow: s.Flow, deliveredAt: now})
+		c.deliveredProbes = append(c.deliveredProbes, deliveredProbe{deliveredPacket: deliveredPacket{flow: s.Flow, deliveredAt: now}, checkAt: now.Add(probeTimeout)})
 		c.log(Entry{Event: "probed", Flow: s.Flow, Age: now.Sub(c.started)})
 		c.deliver(s.Flow, m.Packet)
 		return
@@ -250,21 +250,37 @@
 	c.deliveredOpenings = append(c.deliveredOpenings[:0], c.deliveredOpenings[n:]...)
 }
 
-// checkDeliveredProbes marks flows as held whose probe was not bounced in time.
+// checkDeliveredProbes marks flows as held whose probe was not bounced in time by a target
+// that is running. A target that has crashed or is paused bounces nothing.
 func (c *Core) checkDeliveredProbes(now time.Time) {
 	n := 0
 	for _, p := range c.deliveredProbes {
-		if now.Sub(p.deliveredAt) < probeTimeout {
+		if now.Before(p.checkAt) {
 			break
 		}
 		n++
-		if f := c.flows[p.flow]; f != nil && f.phase == phaseProbing && f.createdAt.Equal(p.deliveredAt) {
+		f := c.flows[p.flow]
+		switch {
+		case f == nil || f.phase != phaseProbing || !f.createdAt.Equal(p.deliveredAt):
+		case p.targetSeen || c.targetLastSeen.After(p.deliveredAt):
 			c.confirmProbe(p.flow, f)
+		default:
+			c.silentProbes = append(c.silentProbes, p)
 		}
 	}
 	c.deliveredProbes = append(c.deliveredProbes[:0], c.deliveredProbes[n:]...)
 }
 
+// recheckProbes checks the probes again that a silent target has not bounced, after it has
+// had the time to do so.
+func (c *Core) recheckProbes(now time.Time) {
+	for _, p := range c.silentProbes {
+		p.targetSeen, p.checkAt = true, now.Add(probeTimeout)
+		c.deliveredProbes = append(c.deliveredProbes, p)
+	}
+	c.silentProbes = c.silentProbes[:0]
+}
+
 // confirmProbe marks a flow as held and notifies the balancer that sent the probe.
 func (c *Core) confirmProbe(key model.Flow, f *flow) {
 	f.phase = phaseEstablished
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -215,7 +215,8 @@
 	flows             map[model.Flow]*flow
 	notHeld           map[model.Flow]time.Time // flows whose probe the target bounced
 	deliveredOpenings []deliveredPacket
-	deliveredProbes   []deliveredPacket
+	deliveredProbes   []deliveredProbe                 // by checkAt
+	silentProbes      []deliveredProbe                 // past checkAt; the target has sent nothing since
 	balancers         map[netip.AddrPort]receivedHello // last hello of each
 	reportSequence    uint64
 	lastIdleSweep     time.Time
@@ -239,6 +240,13 @@
 	deliveredAt time.Time
 }
 
+// deliveredProbe is a probe that the target has not bounced.
+type deliveredProbe struct {
+	deliveredPacket
+	checkAt    time.Time
+	targetSeen bool // the target has sent something since
+}
+
 // New returns the core of an agent that starts now. Unless opts.FirstStart is set, the
 // target may have been running before and hold flows that the agent has not seen.
 func New(now time.Time, opts Options) *Core {
@@ -357,7 +365,7 @@
 		next = minTime(next, c.lastRequestSweep.Add(requestSweepInterval))
 	}
 	if len(c.deliveredProbes) > 0 {
-		next = minTime(next, c.deliveredProbes[0].deliveredAt.Add(probeTimeout))
+		next = minTime(next, c.deliveredProbes[0].checkAt)
 	}
 	return next
 }
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -124,6 +124,7 @@
 	}
 	c.heartbeatReceived, c.target, c.targetLastSeen, c.lastHeartbeat = true, h, now, now
 	c.otherStart = otherStart{}
+	c.recheckProbes(now)
 	c.coldUntil = now.Add(h.ColdRemaining)
 	state := steerwire.TargetReady
 	if h.Draining {
@@ -255,7 +256,7 @@
 func (c *Core) clearFlows(now time.Time, reason string) {
 	c.log(Entry{Event: "flows_forgotten", Reason: reason, Sequence: uint64(len(c.flows))})
 	clear(c.flows)
-	c.deliveredOpenings, c.deliveredProbes = c.deliveredOpenings[:0], c.deliveredProbes[:0]
+	c.deliveredOpenings, c.deliveredProbes, c.silentProbes = c.deliveredOpenings[:0], c.deliveredProbes[:0], c.silentProbes[:0]
 	c.load.reset(now)
 	c.mayHoldUnseen = false
 }
@@ -285,6 +286,7 @@
 // draining again.
 func (c *Core) recordTargetActivity(now time.Time) {
 	c.targetLastSeen = now
+	c.recheckProbes(now)
 	c.unansweredOpenings = 0
 	if c.state == steerwire.TargetSilent {
 		state := steerwire.TargetReady
--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -33,6 +33,7 @@
 	// toProbe those that follow.
 	probing netip.AddrPort
 	toProbe []netip.AddrPort
+	probed  []netip.AddrPort // agents that were sent a probe
 	// misplaced is set once the first buffered packet was sent to an agent whose target may
 	// not hold the flow. It is kept until the holder is found.
 	misplaced bool
--- a/internal/steer/probes.go
+++ b/internal/steer/probes.go
@@ -27,11 +27,17 @@
 // address has never been routed to are not probed. It returns false if there are no others.
 func (c *Core) probe(now time.Time, key model.Flow, l *lookup) bool {
 	l.toProbe = l.toProbe[:0]
+	var again []netip.AddrPort // agents of silent targets do not return or confirm a probe
 	for _, a := range l.unsure {
-		if t := c.targets[a]; t != nil && c.routesTo(key.Dst, t.report.Service) {
+		switch t := c.targets[a]; {
+		case t == nil || !c.routesTo(key.Dst, t.report.Service):
+		case slices.Contains(l.probed, a):
+			again = append(again, a)
+		default:
 			l.toProbe = append(l.toProbe, a)
 		}
 	}
+	l.toProbe = append(l.toProbe, again...)
 	if len(l.toProbe) == 0 {
 		return false
 	}
@@ -41,7 +47,7 @@
 
 func (c *Core) probeNext(now time.Time, key model.Flow, l *lookup) {
 	l.probing, l.toProbe = l.toProbe[0], l.toProbe[1:]
-	l.misplaced, l.phaseStart = true, now
+	l.misplaced, l.phaseStart, l.probed = true, now, append(l.probed, l.probing)
 	var service model.ServiceName
 	if t := c.targets[l.probing]; t != nil {
 		service = t.report.Service
