steer: no hint and no flow entry leads to another service at a reused address

What would happen: a packet of an open flow reaches a target of a service to which its address never led. The target bounces it, so nothing runs.

Cause: a flow entry outlived its agent. When an agent of another service reported from the same address, the entry served as a hint, and packets went there under the service of the new agent, which probed its target.

Change: an entry counts only while the agent at its address serves the flow's service, and a hint only if the address leads or led to the service of the agent.

--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -176,7 +176,7 @@
 func (c *Core) handleSubsequent(now time.Time, s segment.Segment, raw []byte) {
 	f := c.flows[s.Flow]
 	if f != nil {
-		if t := c.targets[f.target]; t == nil || c.unavailable(now, t) {
+		if t := c.targets[f.target]; t == nil || c.unavailable(now, t) || t.reported && t.report.Service != f.service {
 			delete(c.flows, s.Flow) // the flow may have ended, or another agent may hold it
 			f = nil
 		}
--- a/internal/steer/hints.go
+++ b/internal/steer/hints.go
@@ -67,7 +67,7 @@
 	for _, q := range q.Queries {
 		h := steerwire.Hint{Flow: q.Flow}
 		if f := c.flows[q.Flow]; f != nil && f.opened {
-			if t := c.targets[f.target]; t != nil && !c.unavailable(now, t) {
+			if t := c.targets[f.target]; t != nil && t.report.Service == f.service && !c.unavailable(now, t) {
 				h.Target = f.target
 			}
 		}
@@ -92,7 +92,7 @@
 			continue
 		}
 		l.awaitingHints = slices.Delete(l.awaitingHints, i, i+1)
-		if t := c.targets[h.Target]; t != nil && t.reported && !c.unavailable(now, t) {
+		if t := c.targets[h.Target]; t != nil && t.reported && c.routesTo(h.Flow.Dst, t.report.Service) && !c.unavailable(now, t) {
 			c.holderFound(now, h.Flow, l, h.Target, "hint")
 			continue
 		}
