steer: an opening packet is not refused while a target may have opened the flow

What callers would see: a reset of a flow that has just opened. In the users' encoding such a reset is outside the window of an open flow in nearly all cases.

Cause: the notice that the first target answered was lost. After 60 ms the opening packet went to a second target, which refused it, and with no further target the caller got a reset, although the first target had never refused.

Change: a flow remembers which targets returned its opening packet. While a reachable target has not, it gets the packet again, and its answer repeats the notice. The reset comes when all have returned it.

--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -81,6 +81,11 @@
 		c.pendingOpenings = append(c.pendingOpenings, flowOpening{flow: key, openingAt: now})
 		return
 	}
+	if t := c.triedTargetInDoubt(now, f); best == nil && t != nil {
+		f.target, f.openingAt = t.addr, now
+		c.forward(key, f.target, f.service, f.syn)
+		return
+	}
 	if best == nil {
 		// The reset informs the caller at once that its request has not run, so that it
 		// can retry.
@@ -100,6 +105,17 @@
 	c.forward(key, best.addr, f.service, f.syn)
 }
 
+// triedTargetInDoubt returns a reachable target that was sent the opening packet and has
+// not returned it, or nil. It may have opened the flow, because the notice may be lost.
+func (c *Core) triedTargetInDoubt(now time.Time, f *flow) *target {
+	for i, a := range f.tried[:f.ntried] {
+		if t := c.targets[a]; f.refused&(1<<i) == 0 && t != nil && c.reachable(now, t) {
+			return t
+		}
+	}
+	return nil
+}
+
 // targetMayAppear reports whether a target for the flow may become available shortly,
 // because the balancer or an agent of the service has just started.
 func (c *Core) targetMayAppear(now time.Time, f *flow) bool {
@@ -199,6 +215,7 @@
 		if t := c.targets[from]; t != nil && r.Reason != steerwire.ReasonFull {
 			t.suspectUntil = now.Add(suspectDuration) // its next report ends this early
 		}
+		f.addRefused(from)
 		if f.target != from || f.opened {
 			return // the opening packet was forwarded to another target or has been answered
 		}
--- /dev/null
+++ b/internal/steer/openings_test.go
@@ -0,0 +1,27 @@
+package steer
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
+)
+
+// Guards against the reset of a flow that the first target has opened without a notice, because
+// the second one refuses the opening packet.
+func TestOpeningIsNotRefusedWhileATargetMayHaveOpenedIt(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA, agentB)
+	ready(c, ms(10), 1, agentA, agentB)
+	first := forwardedTo(c.Packet(ms(20), syn(1), raw))
+	second := forwardedTo(c.Tick(ms(85))) // no answer in time
+	is.True(first[0] != second[0])
+	got := refuse(c, ms(86), second[0], syn(1), steerwire.ReasonFull)
+	is.True(!hasAction(got, ResetCaller))
+	is.Equal(forwardedTo(got), []netip.AddrPort{first[0]}) // its answer repeats the notice
+
+	got = refuse(c, ms(87), first[0], syn(1), steerwire.ReasonFull)
+	is.True(hasAction(got, ResetCaller)) // both have refused it
+}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -248,8 +248,9 @@
 	target   netip.AddrPort
 	tried    [maxTried]netip.AddrPort // targets that were sent the opening packet or are to be probed
 	ntried   uint8
-	transfer bool // a full-sized packet was forwarded
-	opened   bool // the target answered the opening packet or holds the flow by its own report
+	refused  uint8 // bit set of the tried targets that returned the opening packet
+	transfer bool  // a full-sized packet was forwarded
+	opened   bool  // the target answered the opening packet or holds the flow by its own report
 	// unanswered is set while the target's answer to the opening packet is outstanding.
 	unanswered bool
 	openingAt  time.Time // when the last opening packet was sent or queued
@@ -273,10 +274,19 @@
 func (f *flow) removeTried(a netip.AddrPort) {
 	if i := slices.Index(f.tried[:f.ntried], a); i >= 0 {
 		copy(f.tried[i:], f.tried[i+1:f.ntried])
+		low := uint8(1)<<i - 1
+		f.refused = f.refused&low | f.refused>>1&^low
 		f.ntried--
 	}
 }
 
+// addRefused records that a tried target returned the opening packet.
+func (f *flow) addRefused(a netip.AddrPort) {
+	if i := slices.Index(f.tried[:f.ntried], a); i >= 0 {
+		f.refused |= 1 << i
+	}
+}
+
 // flowOpening refers to a flow whose opening packet was sent or queued at openingAt.
 type flowOpening struct {
 	flow      model.Flow
