passthrough: a late copy of an opening packet does not make an agent deny a flow

What callers would see: the users' line, an open flow reset by a balancer while its target serves.

Cause: an agent that started after its target does not know all its flows. A copy of a flow's opening packet that arrived after the start, from the network or from a paused balancer, created an entry of a flow that is opening, and the caller's packets, which acknowledge more than the handshake, were then taken for those of a flow at another target. The agent denied the flow in place of answering Unsure. The simulation missed it because its callers never acknowledged data; they do now.

Change: an entry that was created while the agent may not know all flows answers Unsure until the acknowledgement matches, or the target sends something other than its answer to the opening packet, which proves that it holds the flow.

--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -53,7 +53,7 @@
 		c.refuse(now, from, m, s, steerwire.ReasonFull)
 		return
 	}
-	c.flows[s.Flow] = &flow{phase: phaseOpening, balancer: from, createdAt: now, lastSeen: now, callerNextSeq: s.Seq + 1}
+	c.flows[s.Flow] = &flow{phase: phaseOpening, balancer: from, createdAt: now, lastSeen: now, callerNextSeq: s.Seq + 1, mayPredate: c.mayHoldUnseen}
 	c.deliveredOpenings = append(c.deliveredOpenings, deliveredPacket{flow: s.Flow, deliveredAt: now})
 	c.deliver(s.Flow, m.Packet)
 }
@@ -63,7 +63,7 @@
 func (c *Core) handleSubsequent(now time.Time, from netip.AddrPort, m steerwire.Forward, s segment.Segment) {
 	f := c.flows[s.Flow]
 	switch {
-	case f == nil && c.flowStatus(s.Flow, s.Ack) == steerwire.Unsure:
+	case (f == nil || f.phase != phaseProbing) && c.flowStatus(s.Flow, s.Ack) == steerwire.Unsure:
 		// The agent started after the target, so the target may hold the flow. It
 		// bounces the packet if it does not.
 		f = &flow{phase: phaseProbing, balancer: from, createdAt: now, lastSeen: now}
@@ -172,6 +172,8 @@
 		}
 	case f.phase == phaseProbing:
 		c.confirmProbe(s.Flow, f)
+	case f.mayPredate && !s.Flags.Has(segment.RST):
+		f.phase = phaseEstablished
 	}
 	if f != nil {
 		f.lastSeen = now
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -172,6 +172,9 @@
 	callerFIN     bool
 	targetFIN     bool
 	closed        bool
+	// mayPredate is set if the target may have held the flow before the agent started. The
+	// opening packet that created the entry is then a late copy.
+	mayPredate bool
 	// confirmedHeld is set once it is certain that the target holds the flow: the caller
 	// acknowledged its answer, or the target sent a packet of the flow.
 	confirmedHeld bool
@@ -318,7 +321,7 @@
 		switch {
 		case f.phase == phaseEstablished, f.phase == phaseAccepted && ack == f.targetISN+1:
 			return steerwire.Held
-		case f.phase == phaseProbing:
+		case f.phase == phaseProbing, f.mayPredate:
 			return steerwire.Unsure
 		}
 		return steerwire.NotHeld
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -523,3 +523,28 @@
 	c.FromTarget(ms(30), rst, nil) // closes a flow without an active request
 	is.Equal(c.Report(ms(30)).FailingCenti, 0)
 }
+
+// Guards against an agent that denies a flow of its target because a late copy of the flow's
+// opening packet has arrived since the agent started.
+func TestLateCopyOfAnOpeningDeniesNoFlow(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	c.HandleHeartbeat(start, heartbeat(7))
+	c.Registered(start, 1)
+	later := request(1)
+	later.Ack += 9000 // data has been exchanged before the agent started
+	for _, answered := range []bool{false, true} {
+		is.Equal(delivered(forward(c, ms(1), syn(1))), 1)
+		if answered {
+			c.FromTarget(ms(2), synAck(1), nil)
+		}
+		is.Equal(c.flowStatus(flowOf(1), later.Ack), steerwire.Unsure)
+	}
+	is.Equal(delivered(forward(c, ms(3), later)), 1) // as a probe
+	c.FromTarget(ms(4), response(1), nil)
+	is.Equal(c.flowStatus(flowOf(1), later.Ack), steerwire.Held)
+
+	is.Equal(delivered(forward(c, ms(5), syn(2))), 1)
+	c.FromTarget(ms(6), response(2), nil) // of the flow that was open before
+	is.Equal(c.flowStatus(flowOf(2), later.Ack), steerwire.Held)
+}
--- a/internal/steersim/caller_test.go
+++ b/internal/steersim/caller_test.go
@@ -93,6 +93,7 @@
 		}
 	case g.DataLen > 0 && c.awaitingReply && g.Ack == c.seq:
 		c.awaitingReply = false
+		c.ack += uint32(g.DataLen)
 		s.served++
 		if s.now.Sub(c.requestedAt) > 150*time.Millisecond {
 			s.late++
