steer: an opening packet is refused at once when no target that may hold it is running

What callers would see: they wait 1.4 s for their own timeout in place of a reset, after a target that got the opening packet went silent or exited and all others refused it.

Cause: since a tried target that had not returned the packet kept it from being refused as long as its agent reported, whatever the report said (found in review).

Change: only targets that are ready or draining do. The new test failed before; steer and TestFaultRefusedCopyOfAnOpeningAfterALostNotice pass.

--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -105,11 +105,15 @@
 	c.forward(key, best.addr, f.service, f.syn)
 }
 
-// triedTargetInDoubt returns a reachable target that was sent the opening packet and has
-// not returned it, or nil. It may have opened the flow, because the notice may be lost.
+// triedTargetInDoubt returns a running target that was sent the opening packet and has not
+// returned it, or nil. It may have opened the flow, because the notice may be lost.
 func (c *Core) triedTargetInDoubt(now time.Time, f *flow) *target {
 	for i, a := range f.tried[:f.ntried] {
-		if t := c.targets[a]; f.refused&(1<<i) == 0 && t != nil && c.reachable(now, t) {
+		t := c.targets[a]
+		if f.refused&(1<<i) != 0 || t == nil || !c.reachable(now, t) {
+			continue
+		}
+		if t.report.State == steerwire.TargetReady || t.report.State == steerwire.TargetDraining {
 			return t
 		}
 	}
