passthrough: reports name the latest hello of a balancer, also after one that was overtaken

Cause: a report named the hello received last, which a later one may have overtaken.

Change: it names the highest of the balancer's process. TestReportsNameTheLatestHello failed before (7, 6, 8, 3); passthrough passes.

--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -233,8 +233,18 @@
 
 // receivedHello is the last hello that was received from a balancer.
 type receivedHello struct {
-	at time.Time
-	id uint64
+	at          time.Time
+	id          uint64 // the highest of this incarnation
+	incarnation model.Incarnation
+}
+
+// next returns the state after the receipt of a hello, which a later one may have overtaken.
+func (r receivedHello) next(now time.Time, h steerwire.Hello) receivedHello {
+	out := receivedHello{at: now, id: h.ID, incarnation: h.Incarnation}
+	if r.incarnation == h.Incarnation {
+		out.id = max(out.id, r.id)
+	}
+	return out
 }
 
 // deliveredPacket is a delivered packet to which the target may still react.
@@ -296,12 +306,12 @@
 		}
 		c.send(from, steerwire.Message{Kind: steerwire.KindHolderAnswer, Answer: a})
 	case steerwire.KindHello:
-		_, known := c.balancers[from]
+		last, known := c.balancers[from]
 		if !known {
 			c.log(Entry{Event: "balancer_heard", Reason: from.String()})
 		}
 		c.recordHello(now, m.Hello)
-		c.balancers[from] = receivedHello{at: now, id: m.Hello.ID}
+		c.balancers[from] = last.next(now, m.Hello)
 		c.reportSequence++
 		r := c.reportTo(now, from)
 		if !known {
--- a/internal/passthrough/report_test.go
+++ b/internal/passthrough/report_test.go
@@ -78,3 +78,19 @@
 	c.End(ms(3000))
 	is.True(!c.AdvertisesToSeeds(ms(3000))) // its last report says that it ends
 }
+
+// Guards against an older report that replaces a later one of the same process, because hellos
+// arrived out of order.
+func TestReportsNameTheLatestHello(t *testing.T) {
+	is := is.New(t)
+	c := newCore(true)
+	var named []uint64
+	for _, h := range []steerwire.Hello{{Incarnation: 1, ID: 7}, {Incarnation: 1, ID: 6}, {Incarnation: 1, ID: 8}, {Incarnation: 2, ID: 3}} {
+		for _, a := range c.Message(start, balancer, steerwire.Message{Kind: steerwire.KindHello, Hello: h}, segment.Segment{}) {
+			if a.Kind == SendMessage {
+				named = append(named, *a.Message.Report.HelloID)
+			}
+		}
+	}
+	is.Equal(named, []uint64{7, 7, 8, 3})
+}
