steer: unsure agents of other services are probed last

What callers saw: after a loss of power, callers of earlier flows got no reset and waited for their own timeout, as long as agents of services to which their address never led were unsure.

Change: when all possible holders have answered, a lookup probes the unsure agents of other services too, after those of the address's services, each with one packet. An address may have led to another service before the balancer's start, so such an agent may hold the flow, and the probe finds it.

--- a/internal/steer/probes.go
+++ b/internal/steer/probes.go
@@ -23,21 +23,28 @@
 	probedLookupPeriod = agentLossTimeout + 500*time.Millisecond
 )
 
-// probe starts to probe the agents that answered Unsure. Targets of services that the
-// address has never been routed to are not probed. It returns false if there are no others.
+// probe starts to probe the agents that answered Unsure, those of services that the address is
+// routed to first. It may have been routed to the others before this process started, so a
+// reset needs their denial too. They are probed only once all possible holders have answered,
+// because otherwise the holder may be one that has not. It returns false if there is none.
 func (c *Core) probe(now time.Time, key model.Flow, l *lookup) bool {
 	l.toProbe = l.toProbe[:0]
 	var again []netip.AddrPort // agents of silent targets do not return or confirm a probe
+	var others []netip.AddrPort
 	for _, a := range l.unsure {
 		switch t := c.targets[a]; {
-		case t == nil || !c.routesTo(key.Dst, t.report.Service):
+		case t == nil:
+		case !c.routesTo(key.Dst, t.report.Service):
+			if len(l.unanswered) == 0 && !slices.Contains(l.probed, a) {
+				others = append(others, a)
+			}
 		case slices.Contains(l.probed, a):
 			again = append(again, a)
 		default:
 			l.toProbe = append(l.toProbe, a)
 		}
 	}
-	l.toProbe = append(l.toProbe, again...)
+	l.toProbe = append(append(l.toProbe, others...), again...)
 	if len(l.toProbe) == 0 {
 		return false
 	}
