steer: hundreds of unsure agents are probed in a bounded time

What callers would see: packets of open flows at other targets for longer than 2 s (FLOW) in a service of hundreds of targets whose agents have restarted, as after a rolling restart. Computed in review from 1,000 agents at 2 ms a round trip: 2.0 s until the holder's turn; 250 at 10 ms would take 2.5 s.

Cause: unsure agents are probed one after the other.

Change: so many are probed at once that all have had their turn after 32 round trips: one up to 32 agents, as before, 8 of 250. TestManyAgentsAreProbedWithinABoundedTime fails without the change (250 agents, 10 ms: not within 0.5 s). steer, steersim, passthrough, passnode and platform pass.

--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -29,10 +29,11 @@
 	finalRound    bool             // the current round decides on a reset
 	incomplete    bool             // a possible holder was not queried; another round follows
 	awaitingHints []netip.AddrPort // balancers with an outstanding answer; agents are queried after them
-	// probing is the agent that was sent a probe and has neither returned nor confirmed it,
-	// toProbe those that follow.
-	probing netip.AddrPort
+	// probing are the agents that were sent a probe and have neither returned nor confirmed
+	// it, toProbe those that follow.
+	probing []netip.AddrPort
 	toProbe []netip.AddrPort
+	atOnce  int              // maximum number of agents in probing
 	probed  []netip.AddrPort // agents that were sent a probe
 	// misplaced is set once the first buffered packet was sent to an agent whose target may
 	// not hold the flow. It is kept until the holder is found.
@@ -154,7 +155,7 @@
 			l.unsure = append(l.unsure, from)
 		}
 	}
-	if len(l.unanswered) == 0 && !l.probing.IsValid() {
+	if len(l.unanswered) == 0 && len(l.probing) == 0 {
 		c.concludeRound(now, answer.Flow, l)
 	}
 }
@@ -366,7 +367,7 @@
 		switch {
 		case len(l.awaitingHints) > 0:
 			timeout = hintTimeout
-		case l.probing.IsValid():
+		case len(l.probing) > 0:
 			timeout = probeTimeout
 		case l.incomplete && l.misplaced:
 			timeout = lookupRetryDelay
@@ -381,7 +382,7 @@
 		switch {
 		case len(l.awaitingHints) > 0:
 			c.handleHintTimeout(now, k, l)
-		case l.probing.IsValid():
+		case len(l.probing) > 0:
 			c.handleProbeTimeout(now, k, l)
 		case l.incomplete:
 			l.incomplete = false
--- a/internal/steer/probes.go
+++ b/internal/steer/probes.go
@@ -11,7 +11,8 @@
 
 // An agent that started after its target answers Unsure, because the target may hold flows
 // that the agent has not seen. Such agents get the first packet of the lookup as a probe,
-// one after the other: a target that does not hold the flow bounces it. The lookup goes on
+// one after the other, or a few at a time if they are many: a target that does not hold the
+// flow bounces it. The lookup goes on
 // without further packets of the caller until a target has kept the probe.
 const (
 	// probeTimeout is the time after which the agents are queried again because a probe was
@@ -21,6 +22,10 @@
 	// probedLookupPeriod is the time from the first packet for which a lookup repeats its
 	// rounds after a probe. By then, agents that do not answer are lost.
 	probedLookupPeriod = agentLossTimeout + 500*time.Millisecond
+	// maxProbeRounds is the maximum number of round trips until all agents are probed. Of
+	// hundreds of agents several are probed at once, so that the holder's turn comes before
+	// the packets at other targets count as misdirected.
+	maxProbeRounds = 32
 )
 
 // probe starts to probe the agents that answered Unsure, those of services that the address is
@@ -48,45 +53,52 @@
 	if len(l.toProbe) == 0 {
 		return false
 	}
-	c.probeNext(now, key, l)
+	l.atOnce = (len(l.toProbe) + maxProbeRounds - 1) / maxProbeRounds
+	c.sendProbes(now, key, l)
 	return true
 }
 
-func (c *Core) probeNext(now time.Time, key model.Flow, l *lookup) {
-	l.probing, l.toProbe = l.toProbe[0], l.toProbe[1:]
-	l.misplaced, l.phaseStart, l.probed = true, now, append(l.probed, l.probing)
-	var service model.ServiceName
-	if t := c.targets[l.probing]; t != nil {
-		service = t.report.Service
+// sendProbes probes the next agents, as many as may be probed at once.
+func (c *Core) sendProbes(now time.Time, key model.Flow, l *lookup) {
+	l.misplaced, l.phaseStart = true, now
+	for len(l.probing) < l.atOnce && len(l.toProbe) > 0 {
+		next := l.toProbe[0]
+		l.toProbe = l.toProbe[1:]
+		l.probing, l.probed = append(l.probing, next), append(l.probed, next)
+		var service model.ServiceName
+		if t := c.targets[next]; t != nil {
+			service = t.report.Service
+		}
+		c.log(Entry{Event: "probed", Flow: key, Service: service, Target: next, Version: c.version(), Age: now.Sub(l.startedAt), Detail: 1 + len(l.toProbe)})
+		c.forward(key, next, service, l.buffered[0])
 	}
-	c.log(Entry{Event: "probed", Flow: key, Service: service, Target: l.probing, Version: c.version(), Age: now.Sub(l.startedAt), Detail: 1 + len(l.toProbe)})
-	c.forward(key, l.probing, service, l.buffered[0])
 }
 
 // handleReturnedProbe handles a packet that an agent returned during a lookup: its target
 // does not hold the flow.
 func (c *Core) handleReturnedProbe(now time.Time, key model.Flow, l *lookup, from netip.AddrPort) {
 	l.unsure = slices.DeleteFunc(l.unsure, func(a netip.AddrPort) bool { return a == from })
-	switch {
-	case from != l.probing:
-	case len(l.toProbe) > 0:
-		c.probeNext(now, key, l)
-	default:
-		l.probing = netip.AddrPort{}
+	i := slices.Index(l.probing, from)
+	if i < 0 {
+		return
+	}
+	l.probing = slices.Delete(l.probing, i, i+1)
+	c.sendProbes(now, key, l)
+	if len(l.probing) == 0 {
 		c.startRound(now, key, l)
 	}
 }
 
 // handleConfirmedProbe handles an agent's notice that its target holds the flow.
 func (c *Core) handleConfirmedProbe(now time.Time, from netip.AddrPort, o steerwire.Opened) {
-	if l := c.lookups[o.Flow]; l != nil && l.probing == from {
+	if l := c.lookups[o.Flow]; l != nil && slices.Contains(l.probing, from) {
 		c.holderFound(now, o.Flow, l, from, "probe")
 	}
 }
 
-// handleProbeTimeout queries the agents again. The one that was probed may have stopped, or
-// may not confirm probes because it is of an earlier release.
+// handleProbeTimeout queries the agents again. Those that were probed may have stopped, or
+// may not confirm probes because they are of an earlier release.
 func (c *Core) handleProbeTimeout(now time.Time, key model.Flow, l *lookup) {
-	l.probing = netip.AddrPort{}
+	l.probing = l.probing[:0]
 	c.startRound(now, key, l)
 }
--- a/internal/steer/probes_test.go
+++ b/internal/steer/probes_test.go
@@ -98,3 +98,31 @@
 	}
 	is.Equal(probed, []netip.AddrPort{agentB, agentC, agentA})
 }
+
+// Guards against a holder whose turn to be probed comes after seconds because many agents of its
+// service have restarted.
+func TestManyAgentsAreProbedWithinABoundedTime(t *testing.T) {
+	is := is.New(t)
+	const roundTrip = 10 // ms
+	agents := fleetOf(250)
+	holder := agents[len(agents)-1]
+	c := newCore(agents...)
+	ready(c, start, 1, agents...)
+	c.Packet(ms(20), data(1), raw)
+	var outstanding []netip.AddrPort
+	for _, a := range agents {
+		outstanding = append(outstanding, forwardedTo(answer(c, ms(21), a, flowOf(1), steerwire.Unsure))...)
+	}
+	for now := 21 + roundTrip; now < 500; now += roundTrip {
+		returned := outstanding
+		outstanding = nil
+		for _, a := range returned {
+			if a == holder {
+				return
+			}
+			outstanding = append(outstanding, forwardedTo(refuse(c, ms(now), a, data(1), steerwire.ReasonNotHeld))...)
+		}
+		is.True(len(outstanding) <= 8)
+	}
+	t.Fatal("the holder was not probed")
+}
