--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -151,6 +151,8 @@
 	case message.HeartbeatAck, message.Slice:
 		c.stepFlows(flows.Contact{})
 		c.stepAnnouncer(membership.Received{From: ev.From, FromAddr: ev.Addr, Msg: ev.Msg})
+	case message.Superseded:
+		c.stepAnnouncer(membership.Received{From: ev.From, FromAddr: ev.Addr, Msg: ev.Msg})
 	case message.FlowQuery, message.FlowAnswer, message.FlowRegister, message.FlowRelease, message.FlowAck, message.LoadReport:
 		c.handleFlowMessage(ev)
 	default:
@@ -215,7 +217,13 @@
 
 // stepAnnouncer steps the membership core.
 func (c *Core) stepAnnouncer(ev membership.Event) {
-	for _, a := range slices.Clone(c.announcer.Step(c.now, ev)) {
+	actions := slices.Clone(c.announcer.Step(c.now, ev))
+	if inc := c.announcer.Self().Incarnation; inc != c.incarnation {
+		c.incarnation = inc
+		c.out = append(c.out, Incarnation{Incarnation: inc}) // before messages under it
+		c.stepFlows(flows.IncarnationRaised{})
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case membership.Send:
 			c.out = append(c.out, Send(a))
@@ -224,10 +232,6 @@
 		case membership.ObserverCountChanged:
 		}
 	}
-	if inc := c.announcer.Self().Incarnation; inc != c.incarnation {
-		c.incarnation = inc
-		c.out = append(c.out, Incarnation{Incarnation: inc})
-	}
 }
 
 // updateSlice replaces the members and the view, and reports drains by decision file.
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -66,9 +66,10 @@
 	buffered map[route.Ref]bufferedPacket // until the core releases them
 	nextRef  route.Ref
 
-	calls   calls
-	stopped chan struct{} // closed when the core's loop has ended
-	started time.Time
+	calls       calls
+	stopped     chan struct{} // closed when the core's loop has ended
+	started     time.Time
+	incarnation model.Incarnation
 }
 
 // bufferedPacket is a parsed packet. It is buffered while the core looks up the
@@ -109,6 +110,7 @@
 	}
 	_ = b.fabricConn.SetReadBuffer(socketBuffer)
 	b.opt.Self.PeerAddr = b.transport.addr()
+	b.incarnation = opt.Self.Incarnation
 	b.core = balancer.New(balancer.Options{
 		Self: b.opt.Self, Seeds: opt.Seeds, Seed: opt.Seed, Router: opt.Router, Intervals: opt.Intervals,
 	})
@@ -290,7 +292,13 @@
 }
 
 func (b *Balancer) stepCore(ctx context.Context, g *errgroup.Group, ev balancer.Event) {
-	for _, a := range b.core.Step(time.Now(), ev) {
+	actions := b.core.Step(time.Now(), ev)
+	if inc := b.core.Self().Incarnation; inc > b.incarnation {
+		b.incarnation = inc
+		b.transport.codec.SetIncarnation(inc) // before messages under it
+		b.opt.Logger.Info("incarnation raised", "reason", "earlier process had a higher one", "incarnation", inc)
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case balancer.List:
 			b.store.startListing(ctx, g)
@@ -308,9 +316,6 @@
 			b.execute(a)
 		}
 	}
-	if _, ok := ev.(balancer.Tick); ok {
-		b.transport.codec.SetIncarnation(b.core.Self().Incarnation)
-	}
 }
 
 func (b *Balancer) execute(a balancer.Action) {
--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -96,9 +96,9 @@
 }
 
 // HandleTargetExit handles the target's announcement that it exits.
-func (a *Agent) HandleTargetExit(ctx context.Context, target string) error {
+func (a *Agent) HandleTargetExit(ctx context.Context, e passthrough.Exit) error {
 	return a.loop.call(ctx, func(now time.Time) {
-		a.execute(now, a.core.HandleTargetExit(now, target))
+		a.execute(now, a.core.HandleTargetExit(now, e))
 		if a.core.State() == steerwire.TargetGone {
 			select {
 			case <-a.targetExited:
@@ -342,9 +342,12 @@
 }
 
 func (a *Agent) logEntry(now time.Time, e passthrough.Entry) {
-	f := make(fields, 0, 12)
+	f := make(fields, 0, 14)
 	f.addFlow(e.Flow)
 	f.addText("target", e.Target)
+	if e.StartMillis != 0 {
+		f.addField("target_started", e.StartMillis)
+	}
 	f.addText("reason", e.Reason)
 	f.addAge(e.Age)
 	f.addField("sequence", e.Sequence)
--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -53,7 +53,7 @@
 		c.refuse(now, from, m, s, steerwire.ReasonFull)
 		return
 	}
-	c.flows[s.Flow] = &flow{phase: phaseOpening, balancer: from, createdAt: now, lastSeen: now, callerNextSeq: s.Seq + 1}
+	c.flows[s.Flow] = &flow{phase: phaseOpening, balancer: from, createdAt: now, lastSeen: now, callerNextSeq: s.Seq + 1, mayPredate: c.mayHoldUnseen}
 	c.deliveredOpenings = append(c.deliveredOpenings, deliveredPacket{flow: s.Flow, deliveredAt: now})
 	c.deliver(s.Flow, m.Packet)
 }
@@ -63,12 +63,12 @@
 func (c *Core) handleSubsequent(now time.Time, from netip.AddrPort, m steerwire.Forward, s segment.Segment) {
 	f := c.flows[s.Flow]
 	switch {
-	case f == nil && c.flowStatus(s.Flow, s.Ack) == steerwire.Unsure:
+	case (f == nil || f.phase != phaseProbing) && c.flowStatus(s.Flow, s.Ack) == steerwire.Unsure:
 		// The agent started after the target, so the target may hold the flow. It
 		// bounces the packet if it does not.
 		f = &flow{phase: phaseProbing, balancer: from, createdAt: now, lastSeen: now}
 		c.flows[s.Flow] = f
-		c.deliveredProbes = append(c.deliveredProbes, deliveredPacket{flow: s.Flow, deliveredAt: now})
+		c.deliveredProbes = append(c.deliveredProbes, deliveredProbe{deliveredPacket: deliveredPacket{flow: s.Flow, deliveredAt: now}, checkAt: now.Add(probeTimeout)})
 		c.log(Entry{Event: "probed", Flow: s.Flow, Age: now.Sub(c.started)})
 		c.deliver(s.Flow, m.Packet)
 		return
@@ -164,13 +164,15 @@
 		}
 	case s.Accepts():
 		c.bouncedOpenings = 0
-		if f.phase == phaseOpening {
+		if f.phase == phaseOpening || f.phase == phaseAccepted { // a restarted target answers a copy anew
 			f.phase, f.targetISN = phaseAccepted, s.Seq
 		}
 		if f.balancer.IsValid() {
 			c.send(f.balancer, steerwire.Message{Kind: steerwire.KindOpened, Opened: steerwire.Opened{Flow: s.Flow}})
 		}
 	case f.phase == phaseProbing:
+		c.confirmProbe(s.Flow, f)
+	case f.mayPredate && !s.Flags.Has(segment.RST):
 		f.phase = phaseEstablished
 	}
 	if f != nil {
@@ -250,21 +252,43 @@
 	c.deliveredOpenings = append(c.deliveredOpenings[:0], c.deliveredOpenings[n:]...)
 }
 
-// checkDeliveredProbes marks flows as held whose probe was not bounced in time.
+// checkDeliveredProbes marks flows as held whose probe was not bounced in time by a target
+// that is running. A target that has crashed or is paused bounces nothing.
 func (c *Core) checkDeliveredProbes(now time.Time) {
 	n := 0
 	for _, p := range c.deliveredProbes {
-		if now.Sub(p.deliveredAt) < probeTimeout {
+		if now.Before(p.checkAt) {
 			break
 		}
 		n++
-		if f := c.flows[p.flow]; f != nil && f.phase == phaseProbing && f.createdAt.Equal(p.deliveredAt) {
-			f.phase = phaseEstablished
+		f := c.flows[p.flow]
+		switch {
+		case f == nil || f.phase != phaseProbing || !f.createdAt.Equal(p.deliveredAt):
+		case p.targetSeen || c.targetLastSeen.After(p.deliveredAt):
+			c.confirmProbe(p.flow, f)
+		default:
+			c.silentProbes = append(c.silentProbes, p)
 		}
 	}
 	c.deliveredProbes = append(c.deliveredProbes[:0], c.deliveredProbes[n:]...)
 }
 
+// recheckProbes checks the probes again that a silent target has not bounced, after it has
+// had the time to do so.
+func (c *Core) recheckProbes(now time.Time) {
+	for _, p := range c.silentProbes {
+		p.targetSeen, p.checkAt = true, now.Add(probeTimeout)
+		c.deliveredProbes = append(c.deliveredProbes, p)
+	}
+	c.silentProbes = c.silentProbes[:0]
+}
+
+// confirmProbe marks a flow as held and notifies the balancer that sent the probe.
+func (c *Core) confirmProbe(key model.Flow, f *flow) {
+	f.phase = phaseEstablished
+	c.send(f.balancer, steerwire.Message{Kind: steerwire.KindOpened, Opened: steerwire.Opened{Flow: key}})
+}
+
 // removeIdleFlows removes flows that are closed, idle or were never established.
 func (c *Core) removeIdleFlows(now time.Time) {
 	for k, f := range c.flows {
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -6,6 +6,7 @@
 package passthrough
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -37,11 +38,6 @@
 	reportsPerBalancerList = 32
 	// fullDuration is the time for which a target is full after it bounced an opening packet.
 	fullDuration = 100 * time.Millisecond
-	// startMargin is how long before its agent a target may have started and still hold
-	// no unseen flow. To open one, a previous agent would have had to receive the
-	// target's heartbeat, report it, deliver an opening packet, exit and start again
-	// within that time. When a VM loses power, both start within 200 ms of each other.
-	startMargin = 300 * time.Millisecond
 	// unregisteredDelay is how long an agent without an object in the store waits after
 	// the first hello before it accepts flows. Balancers pass on its address with their
 	// next hello (every 250 ms), one of which may be lost.
@@ -124,10 +120,12 @@
 type Entry struct {
 	Event    string
 	Flow     model.Flow
-	Target   string // identity given by the target
+	Target   string // identity given by the target, by default of the start in effect
 	Reason   string
 	Sequence uint64        // of the heartbeat, or the number of flows in flows_forgotten
 	Age      time.Duration // of the information behind the decision
+	// StartMillis is the start that a heartbeat names, 0 in entries about other decisions.
+	StartMillis int64
 }
 
 // Counter is the name of a metric and its reason label.
@@ -174,6 +172,9 @@
 	callerFIN     bool
 	targetFIN     bool
 	closed        bool
+	// mayPredate is set if the target may have held the flow before the agent started. The
+	// opening packet that created the entry is then a late copy.
+	mayPredate bool
 	// confirmedHeld is set once it is certain that the target holds the flow: the caller
 	// acknowledged its answer, or the target sent a packet of the flow.
 	confirmedHeld bool
@@ -193,13 +194,18 @@
 	heartbeatReceived  bool
 	state              steerwire.TargetState
 	targetLastSeen     time.Time // last packet, heartbeat or successful health check
+	lastHeartbeat      time.Time // last accepted heartbeat
+	otherStart         otherStart
 	coldUntil          time.Time
 	fullUntil          time.Time
 	unansweredOpenings int // consecutive opening packets without an answer
 	// bouncedOpenings counts consecutive bounced opening packets. A target that accepts no
 	// flows must not look idle to the balancers.
-	bouncedOpenings      int
-	mayHoldUnseen        bool // the target may hold flows from before the agent's start
+	bouncedOpenings int
+	// mayHoldUnseen is set while the target may hold flows from before the agent's start.
+	// Only what the agent has seen itself ends it: clocks cannot tell which of the two
+	// started first.
+	mayHoldUnseen        bool
 	leaving              bool
 	ended                bool      // the target has exited and the agent is about to
 	registered           bool      // the agent's object is in the store
@@ -212,8 +218,9 @@
 	flows             map[model.Flow]*flow
 	notHeld           map[model.Flow]time.Time // flows whose probe the target bounced
 	deliveredOpenings []deliveredPacket
-	deliveredProbes   []deliveredPacket
-	balancers         map[netip.AddrPort]time.Time // last hello of each
+	deliveredProbes   []deliveredProbe                 // by checkAt
+	silentProbes      []deliveredProbe                 // past checkAt; the target has sent nothing since
+	balancers         map[netip.AddrPort]receivedHello // last hello of each
 	reportSequence    uint64
 	lastIdleSweep     time.Time
 	load              load
@@ -224,18 +231,41 @@
 	actions           []Action
 }
 
+// receivedHello is the last hello that was received from a balancer.
+type receivedHello struct {
+	at          time.Time
+	id          uint64 // the highest of this incarnation
+	incarnation model.Incarnation
+}
+
+// next returns the state after the receipt of a hello, which a later one may have overtaken.
+func (r receivedHello) next(now time.Time, h steerwire.Hello) receivedHello {
+	out := receivedHello{at: now, id: h.ID, incarnation: h.Incarnation}
+	if r.incarnation == h.Incarnation {
+		out.id = max(out.id, r.id)
+	}
+	return out
+}
+
 // deliveredPacket is a delivered packet to which the target may still react.
 type deliveredPacket struct {
 	flow        model.Flow
 	deliveredAt time.Time
 }
 
+// deliveredProbe is a probe that the target has not bounced.
+type deliveredProbe struct {
+	deliveredPacket
+	checkAt    time.Time
+	targetSeen bool // the target has sent something since
+}
+
 // New returns the core of an agent that starts now. Unless opts.FirstStart is set, the
 // target may have been running before and hold flows that the agent has not seen.
 func New(now time.Time, opts Options) *Core {
 	return &Core{
 		opts: opts, started: now, targetLastSeen: now, mayHoldUnseen: !opts.FirstStart,
-		flows: make(map[model.Flow]*flow), notHeld: make(map[model.Flow]time.Time), balancers: make(map[netip.AddrPort]time.Time),
+		flows: make(map[model.Flow]*flow), notHeld: make(map[model.Flow]time.Time), balancers: make(map[netip.AddrPort]receivedHello),
 		load: load{updated: now},
 	}
 }
@@ -247,7 +277,7 @@
 func (c *Core) Flows() int { return len(c.flows) }
 
 func (c *Core) log(e Entry) {
-	e.Target = c.target.Target
+	e.Target = cmp.Or(e.Target, c.target.Target)
 	c.actions = append(c.actions, Action{Kind: Log, Entry: e})
 }
 
@@ -276,14 +306,14 @@
 		}
 		c.send(from, steerwire.Message{Kind: steerwire.KindHolderAnswer, Answer: a})
 	case steerwire.KindHello:
-		_, known := c.balancers[from]
+		last, known := c.balancers[from]
 		if !known {
 			c.log(Entry{Event: "balancer_heard", Reason: from.String()})
 		}
 		c.recordHello(now, m.Hello)
-		c.balancers[from] = now
+		c.balancers[from] = last.next(now, m.Hello)
 		c.reportSequence++
-		r := c.report(now)
+		r := c.reportTo(now, from)
 		if !known {
 			r.Balancers = c.listBalancers()
 		}
@@ -301,7 +331,7 @@
 		switch {
 		case f.phase == phaseEstablished, f.phase == phaseAccepted && ack == f.targetISN+1:
 			return steerwire.Held
-		case f.phase == phaseProbing:
+		case f.phase == phaseProbing, f.mayPredate:
 			return steerwire.Unsure
 		}
 		return steerwire.NotHeld
@@ -325,10 +355,10 @@
 	if now.Sub(c.lastIdleSweep) >= idleSweepInterval {
 		c.lastIdleSweep = now
 		c.removeIdleFlows(now)
-		for a, lastHello := range c.balancers {
-			if now.Sub(lastHello) > balancerTimeout {
+		for a, last := range c.balancers {
+			if now.Sub(last.at) > balancerTimeout {
 				delete(c.balancers, a)
-				c.log(Entry{Event: "balancer_lost", Reason: a.String(), Age: now.Sub(lastHello)})
+				c.log(Entry{Event: "balancer_lost", Reason: a.String(), Age: now.Sub(last.at)})
 			}
 		}
 	}
@@ -348,7 +378,7 @@
 		next = minTime(next, c.lastRequestSweep.Add(requestSweepInterval))
 	}
 	if len(c.deliveredProbes) > 0 {
-		next = minTime(next, c.deliveredProbes[0].deliveredAt.Add(probeTimeout))
+		next = minTime(next, c.deliveredProbes[0].checkAt)
 	}
 	return next
 }
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -81,6 +81,11 @@
 		c.pendingOpenings = append(c.pendingOpenings, flowOpening{flow: key, openingAt: now})
 		return
 	}
+	if t := c.triedTargetInDoubt(now, f); best == nil && t != nil {
+		f.target, f.openingAt = t.addr, now
+		c.forward(key, f.target, f.service, f.syn)
+		return
+	}
 	if best == nil {
 		// The reset informs the caller at once that its request has not run, so that it
 		// can retry.
@@ -100,6 +105,21 @@
 	c.forward(key, best.addr, f.service, f.syn)
 }
 
+// triedTargetInDoubt returns a running target that was sent the opening packet and has not
+// returned it, or nil. It may have opened the flow, because the notice may be lost.
+func (c *Core) triedTargetInDoubt(now time.Time, f *flow) *target {
+	for i, a := range f.tried[:f.ntried] {
+		t := c.targets[a]
+		if f.refused&(1<<i) != 0 || t == nil || !c.reachable(now, t) {
+			continue
+		}
+		if t.report.State == steerwire.TargetReady || t.report.State == steerwire.TargetDraining {
+			return t
+		}
+	}
+	return nil
+}
+
 // targetMayAppear reports whether a target for the flow may become available shortly,
 // because the balancer or an agent of the service has just started.
 func (c *Core) targetMayAppear(now time.Time, f *flow) bool {
@@ -176,7 +196,7 @@
 func (c *Core) handleSubsequent(now time.Time, s segment.Segment, raw []byte) {
 	f := c.flows[s.Flow]
 	if f != nil {
-		if t := c.targets[f.target]; t == nil || c.unavailable(now, t) {
+		if t := c.targets[f.target]; t == nil || c.unavailable(now, t) || t.reported && t.report.Service != f.service {
 			delete(c.flows, s.Flow) // the flow may have ended, or another agent may hold it
 			f = nil
 		}
@@ -199,6 +219,7 @@
 		if t := c.targets[from]; t != nil && r.Reason != steerwire.ReasonFull {
 			t.suspectUntil = now.Add(suspectDuration) // its next report ends this early
 		}
+		f.addRefused(from)
 		if f.target != from || f.opened {
 			return // the opening packet was forwarded to another target or has been answered
 		}
@@ -220,6 +241,10 @@
 		c.forward(s.Flow, f.target, f.service, r.Packet)
 		return
 	}
+	if l := c.lookups[s.Flow]; f == nil && l != nil && l.misplaced && !l.idle {
+		c.handleReturnedProbe(now, s.Flow, l, from)
+		return
+	}
 	if f != nil {
 		f.removeTried(from)
 		if f.ntried > 0 {
@@ -231,12 +256,19 @@
 		delete(c.flows, s.Flow)
 	}
 	c.lookUpHolder(now, s, r.Packet, false)
+	if l := c.lookups[s.Flow]; l != nil {
+		l.misplaced = true
+	}
 }
 
 // handleOpened records that a target answered an opening packet.
 func (c *Core) handleOpened(now time.Time, from netip.AddrPort, o steerwire.Opened) {
 	f := c.flows[o.Flow]
-	if f == nil || f.opened {
+	if f == nil {
+		c.handleConfirmedProbe(now, from, o)
+		return
+	}
+	if f.opened {
 		return
 	}
 	if f.unanswered {
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -97,9 +97,6 @@
 	// maxStartSpread is the maximum time between the starts of a deployment's processes
 	// after all of them were killed or lost power.
 	maxStartSpread = 300 * time.Millisecond
-	// ignoredReportLogInterval is the minimum interval between log lines about ignored reports
-	// of an agent.
-	ignoredReportLogInterval = time.Second
 	// minListInterval is the minimum interval between the store listings that confirm resets.
 	minListInterval = 100 * time.Millisecond
 )
@@ -251,8 +248,9 @@
 	target   netip.AddrPort
 	tried    [maxTried]netip.AddrPort // targets that were sent the opening packet or are to be probed
 	ntried   uint8
-	transfer bool // a full-sized packet was forwarded
-	opened   bool // the target answered the opening packet or holds the flow by its own report
+	refused  uint8 // bit set of the tried targets that returned the opening packet
+	transfer bool  // a full-sized packet was forwarded
+	opened   bool  // the target answered the opening packet or holds the flow by its own report
 	// unanswered is set while the target's answer to the opening packet is outstanding.
 	unanswered bool
 	openingAt  time.Time // when the last opening packet was sent or queued
@@ -276,10 +274,19 @@
 func (f *flow) removeTried(a netip.AddrPort) {
 	if i := slices.Index(f.tried[:f.ntried], a); i >= 0 {
 		copy(f.tried[i:], f.tried[i+1:f.ntried])
+		low := uint8(1)<<i - 1
+		f.refused = f.refused&low | f.refused>>1&^low
 		f.ntried--
 	}
 }
 
+// addRefused records that a tried target returned the opening packet.
+func (f *flow) addRefused(a netip.AddrPort) {
+	if i := slices.Index(f.tried[:f.ntried], a); i >= 0 {
+		f.refused |= 1 << i
+	}
+}
+
 // flowOpening refers to a flow whose opening packet was sent or queued at openingAt.
 type flowOpening struct {
 	flow      model.Flow
@@ -310,6 +317,8 @@
 	lastAgentHello    time.Time                       // when hellos to agents were last sent
 	lastFirstHello    time.Time                       // when hellos to agents without a report were last sent
 	unreportedAgents  int                             // agents that these went to
+	firstHelloID      uint64                          // of a hello to an agent
+	nextHelloID       uint64
 	lastLossCheck     time.Time
 	lastPeerHello     time.Time                                 // when hellos to balancers were last sent
 	advertiseSoon     bool                                      // an agent is new or lost; not sent to balancers yet
@@ -345,6 +354,8 @@
 		transfers:   shaping.New[transferPacket, delayedPacket](options.LinkBitsPerSecond),
 		resetQueues: make(map[model.ServiceName]*pacing.Queue[model.Flow]), pendingReset: make(map[model.Flow]pendingReset),
 	}
+	c.firstHelloID = c.nextRandom()>>1 + 1
+	c.nextHelloID = c.firstHelloID
 	return c
 }
 
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -25,6 +25,7 @@
 	endedAt        time.Time // when it reported that it ends with its target; zero if it may hold flows
 	report         steerwire.Report
 	lastHello      time.Time       // when a hello was last sent to it
+	answeredHello  uint64          // highest ID of a hello that a report named, 0 for none
 	override       config.Override // from decision files
 	lastReport     time.Time       // when the last report was received
 	firstReport    time.Time       // when the first report of its incarnation was received
@@ -190,6 +191,8 @@
 	t.lastHello = now
 	m := c.helloMessage(now, false)
 	m.Hello.Unlisted = c.unlisted(now, t)
+	m.Hello.ID = c.nextHelloID
+	c.nextHelloID++
 	c.send(t.addr, m)
 }
 
@@ -251,58 +254,6 @@
 	return c.actions
 }
 
-// handleReport applies an agent's report unless a later one has been received.
-func (c *Core) handleReport(now time.Time, from netip.AddrPort, r steerwire.Report) {
-	t := c.addAgent(now, from)
-	for _, a := range r.Balancers {
-		c.addPeer(now, a, false)
-	}
-	if t.reported && (r.Incarnation < t.report.Incarnation || r.Incarnation == t.report.Incarnation && r.Sequence <= t.report.Sequence) {
-		c.count(CounterDropped, "old_report")
-		c.logIgnoredReport(now, t, r)
-		return
-	}
-	old := t.report
-	if !t.reported || old.State != r.State || old.Incarnation != r.Incarnation || old.Service != r.Service {
-		c.log(Entry{Event: "target", Service: r.Service, Target: from, Reason: r.State.String(), Age: now.Sub(t.lastReport), Detail: r.Slots, Incarnation: r.Incarnation})
-	} else if !c.reachable(now, t) {
-		c.log(Entry{Event: "regained", Service: r.Service, Target: from, Age: now.Sub(t.lastReport), Incarnation: r.Incarnation})
-	}
-	if !t.reported || old.Incarnation != r.Incarnation {
-		t.firstReport = now
-		c.advertiseSoon = true
-	}
-	t.reported, t.lossAdvertised, t.unresponsive, t.report, t.lastReport = true, false, false, r, now
-	t.report.Balancers = nil
-	t.endedAt = time.Time{}
-	if r.Ended {
-		t.endedAt, c.advertiseSoon = now, true
-		c.log(Entry{Event: "lost", Service: r.Service, Target: from, Reason: "ended"})
-	}
-	if old.Node != r.Node || old.DataCentre != r.DataCentre || t.override.Weight == 0 {
-		c.override(t)
-	}
-	t.assigned = 0
-	t.suspectUntil = time.Time{}
-	t.coldUntil = now.Add(time.Duration(r.ColdMillis) * time.Millisecond)
-	if old.Service != r.Service || len(c.byService[r.Service]) == 0 {
-		c.rebuildServiceIndex()
-	}
-	if len(c.pendingOpenings) > 0 && r.State == steerwire.TargetReady {
-		c.placePending(now, r.Service)
-	}
-}
-
-// logIgnoredReport logs that the reports of another incarnation than the known one are
-// ignored, at most once in ignoredReportLogInterval.
-func (c *Core) logIgnoredReport(now time.Time, t *target, r steerwire.Report) {
-	if r.Incarnation == t.report.Incarnation || now.Sub(t.lastIgnored) < ignoredReportLogInterval {
-		return
-	}
-	t.lastIgnored = now
-	c.log(Entry{Event: "report_ignored", Service: r.Service, Target: t.addr, Reason: "other_incarnation", Age: now.Sub(t.lastReport), Incarnation: r.Incarnation})
-}
-
 // rebuildServiceIndex rebuilds the lists of targets by service.
 func (c *Core) rebuildServiceIndex() {
 	clear(c.byService)
