steer: a stopping balancer starts no probes shortly before its end

Cause: routers send packets to a stopping balancer for as long as fewer than half of a data centre's balancers are in rotation. It probed a flow's packet at several targets and ended before the holder's turn; nobody went on with the lookup.

Later packets wait for the caller's retransmission to another balancer. TestStoppingBalancerStartsNoProbesShortlyBeforeItsEnd fails without it.

--- a/internal/steer/probes.go
+++ b/internal/steer/probes.go
@@ -26,6 +26,9 @@
 	// hundreds of agents several are probed at once, so that the holder's turn comes before
 	// the packets at other targets count as misdirected.
 	maxProbeRounds = 32
+	// leavingProbePeriod is the time after its stop began for which a balancer starts to
+	// probe. It ends later by more than the restart of an agent takes.
+	leavingProbePeriod = time.Second
 )
 
 // probe starts to probe the agents that answered Unsure, those of services that the address is
@@ -33,6 +36,9 @@
 // reset needs their denial too. They are probed only once all possible holders have answered,
 // because otherwise the holder may be one that has not. It returns false if there is none.
 func (c *Core) probe(now time.Time, key model.Flow, l *lookup) bool {
+	if c.leaving && !l.misplaced && now.Sub(c.leavingSince) >= leavingProbePeriod {
+		return false // the lookup might not end before the process does
+	}
 	l.toProbe = l.toProbe[:0]
 	var again []netip.AddrPort // agents of silent targets do not return or confirm a probe
 	var others []netip.AddrPort
--- a/internal/steer/probes_test.go
+++ b/internal/steer/probes_test.go
@@ -126,3 +126,21 @@
 	}
 	t.Fatal("the holder was not probed")
 }
+
+// Guards against packets at other targets of a flow whose lookup ends with the balancer before
+// the holder's turn.
+func TestStoppingBalancerStartsNoProbesShortlyBeforeItsEnd(t *testing.T) {
+	for _, test := range []struct{ after, probes int }{{500, 1}, {1500, 0}} {
+		is := is.New(t)
+		c := newCore(agentA, agentB)
+		ready(c, ms(20), 1, agentA, agentB)
+		c.Tick(ms(20))
+		c.Leave()
+		now := 20 + test.after
+		ready(c, ms(now), 2, agentA, agentB)
+		c.Packet(ms(now), data(1), raw)
+		c.Tick(ms(now + 10))
+		answer(c, ms(now+11), agentA, flowOf(1), steerwire.Unsure)
+		is.Equal(len(forwardedTo(answer(c, ms(now+12), agentB, flowOf(1), steerwire.Unsure))), test.probes)
+	}
+}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -328,6 +328,7 @@
 	lastIdleSweep     time.Time                                 // when idle flows were last expired
 	lastTick          time.Time
 	leaving           bool
+	leavingSince      time.Time
 
 	transfers           *shaping.Queue[transferPacket, delayedPacket]
 	lastTransferRelease time.Time // when packets of transfers were last released
@@ -423,7 +424,7 @@
 
 // Leave marks the balancer as stopping. It continues to forward packets, and another
 // balancer reads the store in its place.
-func (c *Core) Leave() { c.leaving, c.advertiseSoon = true, true }
+func (c *Core) Leave() { c.leaving, c.leavingSince, c.advertiseSoon = true, c.lastTick, true }
 
 // Ready reports whether the balancer may receive packets from callers, and if not, why.
 func (c *Core) Ready(now time.Time) (bool, string) {
