steer: probes go on past agents that do not answer

Cause: each probe to an agent that had stopped held the lookup up for 0.24 to 0.32 s, and an agent that restarted with the probe was probed again after all others, although it was as likely the holder as before. In the traced flow nine such stalls took 2.48 of 2.94 s.

Change: after 80 ms without a result a further agent is probed beside the silent one; after the last the agents are queried again. An agent with another incarnation than when it was probed comes first. Agents of other services are probed only if no agent that may hold the flow is left out, as for a reset.

TestProbesGoOnPastStoppedAgents fails without it; TestAgentOfASilentTargetIsProbedAgainLast waits for the second pass now. steer and the tests of restarts and probes in steersim pass.

--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -33,8 +33,8 @@
 	// it, toProbe those that follow.
 	probing []netip.AddrPort
 	toProbe []netip.AddrPort
-	atOnce  int              // maximum number of agents in probing
-	probed  []netip.AddrPort // agents that were sent a probe
+	atOnce  int // maximum number of agents in probing
+	probed  []probedAgent
 	// misplaced is set once the first buffered packet was sent to an agent whose target may
 	// not hold the flow. It is kept until the holder is found.
 	misplaced bool
--- a/internal/steer/probes.go
+++ b/internal/steer/probes.go
@@ -15,10 +15,10 @@
 // flow bounces it. The lookup goes on
 // without further packets of the caller until a target has kept the probe.
 const (
-	// probeTimeout is the time after which the agents are queried again because a probe was
+	// probeTimeout is the time after which a further agent is probed because a probe was
 	// neither returned nor confirmed. An agent confirms it 50 ms after the delivery at the
 	// latest, and the longest round trip takes 10 ms.
-	probeTimeout = 120 * time.Millisecond
+	probeTimeout = 80 * time.Millisecond
 	// probedLookupPeriod is the time from the first packet for which a lookup repeats its
 	// rounds after a probe. By then, agents that do not answer are lost.
 	probedLookupPeriod = agentLossTimeout + 500*time.Millisecond
@@ -31,6 +31,12 @@
 	leavingProbePeriod = time.Second
 )
 
+// probedAgent is an agent that was sent a probe.
+type probedAgent struct {
+	addr        netip.AddrPort
+	incarnation model.Incarnation
+}
+
 // probe starts to probe the agents that answered Unsure, those of services that the address is
 // routed to first. It may have been routed to the others before this process started, so a
 // reset needs their denial too. They are probed only once all possible holders have answered,
@@ -40,22 +46,29 @@
 		return false // the lookup might not end before the process does
 	}
 	l.toProbe = l.toProbe[:0]
+	var first []netip.AddrPort // restarted with the probe
 	var again []netip.AddrPort // agents of silent targets do not return or confirm a probe
 	var others []netip.AddrPort
+	complete := len(l.unanswered) == 0 && c.queriedAll(now, l, agentLossTimeout)
 	for _, a := range l.unsure {
-		switch t := c.targets[a]; {
-		case t == nil:
-		case !c.routesTo(key.Dst, t.report.Service):
-			if len(l.unanswered) == 0 && !slices.Contains(l.probed, a) {
-				others = append(others, a)
-			}
-		case slices.Contains(l.probed, a):
-			again = append(again, a)
-		default:
+		t := c.targets[a]
+		if t == nil {
+			continue
+		}
+		i := slices.IndexFunc(l.probed, func(p probedAgent) bool { return p.addr == a })
+		switch routed := c.routesTo(key.Dst, t.report.Service); {
+		case !routed && i < 0 && complete:
+			others = append(others, a)
+		case !routed:
+		case i < 0:
 			l.toProbe = append(l.toProbe, a)
+		case l.probed[i].incarnation != t.report.Incarnation:
+			first = append(first, a)
+		default:
+			again = append(again, a)
 		}
 	}
-	l.toProbe = append(append(l.toProbe, others...), again...)
+	l.toProbe = slices.Concat(first, l.toProbe, others, again)
 	if len(l.toProbe) == 0 {
 		return false
 	}
@@ -70,10 +83,12 @@
 	for len(l.probing) < l.atOnce && len(l.toProbe) > 0 {
 		next := l.toProbe[0]
 		l.toProbe = l.toProbe[1:]
-		l.probing, l.probed = append(l.probing, next), append(l.probed, next)
+		l.probing = append(l.probing, next)
+		l.probed = slices.DeleteFunc(l.probed, func(p probedAgent) bool { return p.addr == next })
 		var service model.ServiceName
 		if t := c.targets[next]; t != nil {
 			service = t.report.Service
+			l.probed = append(l.probed, probedAgent{next, t.report.Incarnation})
 		}
 		c.log(Entry{Event: "probed", Flow: key, Service: service, Target: next, Version: c.version(), Age: now.Sub(l.startedAt), Detail: 1 + len(l.toProbe)})
 		c.forward(key, next, service, l.buffered[0])
@@ -102,9 +117,15 @@
 	}
 }
 
-// handleProbeTimeout queries the agents again. Those that were probed may have stopped, or
-// may not confirm probes because they are of an earlier release.
+// handleProbeTimeout probes a further agent, and after the last one queries the agents again.
+// Those that were probed may have stopped, or may not confirm probes because they are of an
+// earlier release.
 func (c *Core) handleProbeTimeout(now time.Time, key model.Flow, l *lookup) {
+	if len(l.toProbe) > 0 {
+		l.atOnce++
+		c.sendProbes(now, key, l)
+		return
+	}
 	l.probing = l.probing[:0]
 	c.startRound(now, key, l)
 }
