steersim: histories of rare events; failing tests of ports that are opened again

What callers would see: a flow whose addresses and ports belonged to a closed flow shortly before is reset while its target holds it, without any fault, or its packets go to the target of the closed flow only.

Cause: an agent keeps the entry of a closed flow for 3 s. An opening packet delivered meanwhile leaves the entry marked closed, so that it is removed after a pause of 3 s, all agents deny the flow and the balancer resets it. If the new flow opens at another target, the agent of the first one answers "held", delivers the packets and drops what the target bounces. A balancer's entry or hint leads there after a restart of another balancer.

The new histories play planned work only beside datagrams lost or late by 50 ms, with a bound for stalled requests; many agents that restart at once or when queried; routes that move and come back, with a bound for openings at the former service; copies of opening packets up to 6 s late; late heartbeats and exits. All histories end with a check that no lookup outlives its packets and each agent of a running target is ready.

--- a/internal/steersim/caller_test.go
+++ b/internal/steersim/caller_test.go
@@ -22,6 +22,9 @@
 	})
 }
 
+// maxRetransmitInterval is the maximum interval between retransmissions of a request.
+const maxRetransmitInterval = 1600 * time.Millisecond
+
 // caller opens a flow and sends requests on it sequentially.
 type caller struct {
 	s             *sim
@@ -41,11 +44,22 @@
 // openFlow opens a flow with n requests to the i-th address.
 func (s *sim) openFlow(i, n int, pause time.Duration) *caller {
 	s.port++
-	c := &caller{s: s, requestsLeft: n, pause: pause, seq: s.rand.Uint32(), deadline: 1400 * time.Millisecond, requestedAt: s.now, multiRequest: n > 1}
+	c := s.newCaller(n, pause)
 	c.flow = model.Flow{
 		Src: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(s.rand.IntN(3)), byte(s.rand.IntN(200))}), s.port),
 		Dst: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)}), 443), Proto: model.TCP,
 	}
+	c.open()
+	return c
+}
+
+func (s *sim) newCaller(n int, pause time.Duration) *caller {
+	return &caller{s: s, requestsLeft: n, pause: pause, seq: s.rand.Uint32(), deadline: 1400 * time.Millisecond, requestedAt: s.now, multiRequest: n > 1}
+}
+
+// open sends the opening packet and its copies.
+func (c *caller) open() {
+	s := c.s
 	s.callers[c.flow] = c
 	for n, d := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		s.after(d, func() {
@@ -59,7 +73,6 @@
 			c.end(false)
 		}
 	})
-	return c
 }
 
 // send sends a packet to a balancer in rotation, selected by the hash of its flow as routers do.
@@ -75,6 +88,9 @@
 	b := in[c.flow.Hash()%uint64(len(in))]
 	s.lastTaker[c.flow] = b
 	s.after(callerDelay+s.callerDelay(g), func() { b.receive(g) })
+	if s.lateOpenings > 0 && g.Opens() && s.rand.Float64() < s.lateOpenings {
+		s.after(s.randomUpTo(maxOpeningDelay), func() { b.receive(g) })
+	}
 }
 
 func (s *sim) deliverToCaller(g segment.Segment) {
@@ -102,6 +118,7 @@
 			c.send(segment.Segment{Flow: c.flow, Flags: segment.FIN | segment.ACK, Seq: c.seq, Ack: c.ack})
 			c.ended = true
 			delete(s.callers, c.flow)
+			c.openAgain()
 			return
 		}
 		s.after(c.pause, func() {
@@ -123,12 +140,13 @@
 		if !c.awaitingReply || c.ended || c.seq != seq+50 {
 			return
 		}
-		if c.s.now.Sub(start) > c.deadline {
+		if c.s.now.Sub(start) > max(c.deadline, c.s.patience) {
+			c.s.recordStalled(c.flow)
 			c.end(false)
 			return
 		}
 		c.send(segment.Segment{Flow: c.flow, Flags: segment.ACK, Seq: seq, Ack: c.ack, DataLen: 50})
-		c.s.after(wait, func() { try(wait * 2) })
+		c.s.after(wait, func() { try(min(wait*2, maxRetransmitInterval)) })
 	}
 	try(200 * time.Millisecond)
 }
--- a/internal/steersim/history_test.go
+++ b/internal/steersim/history_test.go
@@ -26,10 +26,15 @@
 	clockSteps  bool          // the time of day steps on some VMs
 	restartTime time.Duration // maximum time from the end of a process to its next start
 	lastEvent   time.Duration
+	extra       historyExtras
 }
 
 func newHistory(t *testing.T, seed uint64) *history {
-	s := newSim(t, seed, 6, services)
+	return newHistoryWith(t, seed, historyExtras{services: services, events: 5})
+}
+
+func newHistoryWith(t *testing.T, seed uint64, extra historyExtras) *history {
+	s := newSim(t, seed, 6, extra.services)
 	s.promptTimers, s.staleness = true, 3*time.Second
 	s.loss, s.seedCount, s.flowIdleTimeout = 0.001, 3, s.config.IdleTimeout
 	s.rule = &flowRule{disruptedUntil: map[netip.Addr]time.Time{}}
@@ -39,8 +44,9 @@
 	s.probeBalancers()
 	s.snapshotListings()
 	s.run(historyStart)
-	h := &history{sim: s, planned: seed%3 == 0, clockSteps: seed%3 == 1, restartTime: 700 * time.Millisecond}
-	for range 5 + s.rand.IntN(11) {
+	h := &history{sim: s, planned: seed%3 == 0, clockSteps: seed%3 == 1, restartTime: 700 * time.Millisecond, extra: extra}
+	h.applyExtras()
+	for range extra.events + s.rand.IntN(11) {
 		at := s.randomUpTo(maxHistory)
 		name, run, lasts := h.randomEvent()
 		h.lastEvent = max(h.lastEvent, at+lasts)
@@ -105,7 +111,7 @@
 
 func (h *history) plannedEvents() []historyEvent {
 	short := func() time.Duration { return 100*time.Millisecond + h.randomUpTo(h.restartTime) }
-	return []historyEvent{
+	return append([]historyEvent{
 		{"agent restarts", 2 * time.Second, func() { h.randomAgent().restartPlanned(short()) }},
 		{"agent restarts twice", 3 * time.Second, func() {
 			a := h.randomAgent()
@@ -146,7 +152,7 @@
 				h.after(short(), func() { h.addBalancerAt(b) })
 			})
 		}},
-	}
+	}, h.extraEvents()...)
 }
 
 // replaceTarget releases a target. Another starts at a new address or, also of another
@@ -359,7 +365,8 @@
 	h.checkRequestsRunOnce()
 	h.checkAllTargetsGetFlows()
 	h.checkResetsAreProven()
-	h.t.Logf("%d requests served, %d failed, %d resets, %d not counted", h.served, h.failed, h.resets, h.uncounted)
+	h.checkNothingIsPending()
+	h.t.Logf("%d requests served, %d failed, %d resets, %d not counted, %d stalled", h.served, h.failed, h.resets, h.uncounted, h.stalled)
 }
 
 // checkAllTargetsGetFlows fails unless each balancer places flows at all targets.
--- a/internal/steersim/network_test.go
+++ b/internal/steersim/network_test.go
@@ -25,6 +25,10 @@
 	maxDelay        time.Duration                                           // of a delayed message
 	duplicateShare  float64                                                 // fraction of the messages that are delivered twice
 	openingDelay    time.Duration                                           // maximum of a delayed copy of an opening packet
+	packetJitter    time.Duration                                           // maximum extra delay of a caller's packet
+	lateOpenings    float64                                                 // fraction of the opening packets of which a copy arrives seconds late
+	patience        time.Duration                                           // for which callers retransmit a request, if longer than usual
+	reopenShare     float64                                                 // fraction of the closed flows whose addresses and ports are opened again
 	storeSlowness   time.Duration                                           // maximum extra time of a call to the store
 	staleness       time.Duration                                           // maximum age of listings that may be outdated
 	snapshots       []listingSnapshot                                       // of the agents in the store, oldest first
@@ -38,6 +42,10 @@
 	resetBy         map[model.Flow]*balancer                                // balancer that reset a flow
 	placed          map[netip.AddrPort]map[netip.AddrPort]bool              // targets that each balancer has placed flows at; nil if not recorded
 	rule            *flowRule                                               // which resets of open flows count; nil for all
+	formerRoutes    map[netip.AddrPort][]model.ServiceName                  // services to which an address led earlier
+	routesMovedAt   time.Time                                               // last change of the routes
+	formerTargets   []*target                                               // targets that others followed at their addresses
+	stalled         int                                                     // requests on open flows of running targets that got no answer in time
 	uncounted       int                                                     // resets and misdirections of open flows that the rule does not count
 }
 
@@ -50,7 +58,7 @@
 func newFaults() faults {
 	return faults{
 		seedCount: 1, flowIdleTimeout: time.Minute, paused: map[netip.AddrPort]bool{}, inbox: map[netip.AddrPort][]func(){},
-		suspended: map[netip.Addr]time.Duration{}, lastTaker: map[model.Flow]*balancer{}, resetBy: map[model.Flow]*balancer{},
+		formerRoutes: map[netip.AddrPort][]model.ServiceName{}, suspended: map[netip.Addr]time.Duration{}, lastTaker: map[model.Flow]*balancer{}, resetBy: map[model.Flow]*balancer{},
 	}
 }
 
@@ -85,6 +93,9 @@
 
 // callerDelay returns the extra delay of a caller's packet.
 func (s *sim) callerDelay(g segment.Segment) time.Duration {
+	if s.packetJitter > 0 && s.rand.Float64() < 0.1 {
+		return s.randomUpTo(s.packetJitter)
+	}
 	if s.openingDelay == 0 || !g.Opens() || s.rand.Float64() > 0.1 {
 		return 0
 	}
--- a/internal/steersim/processes_test.go
+++ b/internal/steersim/processes_test.go
@@ -147,6 +147,7 @@
 	if former != nil {
 		a.addr, a.listed, a.objectIncarnation = former.addr, former.listed, former.objectIncarnation
 		former.listed = false
+		s.formerTargets = append(s.formerTargets, former.target)
 	}
 	s.logf("fault: agent %s of %s added", a.addr, service)
 	s.agents = append(s.agents, a)
--- a/internal/steersim/target_test.go
+++ b/internal/steersim/target_test.go
@@ -37,6 +37,9 @@
 func (a *agent) newTarget(service model.ServiceName) {
 	s := a.s
 	t := &target{agent: a, service: service, id: fmt.Sprintf("t%d", s.rand.Uint32()), startMillis: s.timeOfDay(a.addr), flows: map[model.Flow]*flowState{}, workTime: 25 * time.Millisecond, slots: 3}
+	if a.target != nil {
+		s.formerTargets = append(s.formerTargets, a.target)
+	}
 	a.target = t
 	s.after(time.Millisecond, func() { a.sendHeartbeat(t) })
 }
@@ -81,9 +84,12 @@
 	}
 	h := t.flows[g.Flow]
 	probe := !g.Opens() && h == nil && a.probes[g.Flow] == 1
-	if !probe && s.config.Routes[g.Flow.Dst].Shares[0].Service != t.service {
+	if !probe && !s.routedTo(g.Flow.Dst, t.service) {
 		s.fail("a packet of %s reached a target of %s", g.Flow.Dst, t.service)
 	}
+	if g.Opens() && h == nil {
+		s.checkOpeningFollowsRoutes(g, t)
+	}
 	switch {
 	case g.Opens():
 		if !t.drainedAt.IsZero() && s.now.Sub(t.drainedAt) > drainGrace {
