--- a/internal/passthrough/starts_test.go
+++ b/internal/passthrough/starts_test.go
@@ -228,3 +228,19 @@
 	c.HandleTargetExit(ms(30), Exit{Target: "t1", StartMillis: heartbeat(7).StartMillis})
 	is.Equal(c.State(), steerwire.TargetGone)
 }
+
+// Guards against an agent that claims a flow of another target, because its own crashed before
+// it could bounce a probe and the next one does not know the packet.
+func TestProbeAtACrashedTargetIsNotHeldByTheNext(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	c.HandleHeartbeat(start, heartbeat(7))
+	is.Equal(delivered(forward(c, ms(2000), request(1))), 1)
+	c.Tick(ms(2051))
+	c.Tick(ms(3100))
+	is.Equal(c.State(), steerwire.TargetSilent)
+	v, _ := c.HandleHeartbeat(ms(3200), restarted("t2", 0, 1))
+	is.Equal(v, Accepted)
+	c.Tick(ms(3260))
+	is.True(c.flowStatus(request(1).Flow, request(1).Ack) != steerwire.Held)
+}
