steer: a lost probe at an agent of another service is repeated, and the holder gets the last copy

Cause: agents of services to which the address is not known to have led were probed once in a lookup, whether or not the probe arrived. And with probes going on past silent agents, others could get the packet after the holder had it.

Change: such agents are probed again after the others; the holder gets the packet once more if further agents were probed beside it.

--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -171,8 +171,8 @@
 	c.observe(LatencyLookup, reason, now.Sub(l.startedAt))
 	c.log(Entry{Event: "found", Flow: key, Service: f.service, Target: target, Reason: reason, Version: c.version(), Age: now.Sub(l.phaseStart), Detail: l.attempts})
 	buffered := l.buffered
-	if reason == "probe" {
-		buffered = buffered[1:]
+	if reason == "probe" && l.atOnce == 1 {
+		buffered = buffered[1:] // no other target has had it since
 	}
 	for _, p := range buffered {
 		c.forward(key, target, f.service, p)
--- a/internal/steer/probes.go
+++ b/internal/steer/probes.go
@@ -57,9 +57,9 @@
 		}
 		i := slices.IndexFunc(l.probed, func(p probedAgent) bool { return p.addr == a })
 		switch routed := c.routesTo(key.Dst, t.report.Service); {
-		case !routed && i < 0 && complete:
+		case !routed && !complete:
+		case !routed && i < 0:
 			others = append(others, a)
-		case !routed:
 		case i < 0:
 			l.toProbe = append(l.toProbe, a)
 		case l.probed[i].incarnation != t.report.Incarnation:
