passthrough: a probe at a crashed target is not taken as kept by the next one

What callers would see: packets of a flow at a target that does not hold it, after a target has crashed and another has started at its address.

Change: probes are dropped with the start of the target that got them. TestProbeAtACrashedTargetIsNotHeldByTheNext failed before and passes.

--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -181,6 +181,9 @@
 // recordStart puts the start of h into effect. Requests at the former start have ended. Its
 // flows stay in the table: the target bounces their packets if it does not hold them.
 func (c *Core) recordStart(now time.Time, h Heartbeat) {
+	if c.heartbeatReceived {
+		c.dropProbes(now)
+	}
 	e := Entry{Event: "target_start", Target: h.Target, StartMillis: h.StartMillis, Reason: "first_heartbeat", Sequence: h.Sequence}
 	if c.heartbeatReceived {
 		e.Reason, e.Age = "confirmed", now.Sub(c.lastHeartbeat)
@@ -196,6 +199,16 @@
 	c.log(e)
 }
 
+// dropProbes forgets the probes that the former start of the target has not bounced.
+func (c *Core) dropProbes(now time.Time) {
+	for k, f := range c.flows {
+		if f.phase == phaseProbing {
+			c.removeFlow(now, k, f)
+		}
+	}
+	c.deliveredProbes, c.silentProbes = c.deliveredProbes[:0], c.silentProbes[:0]
+}
+
 // Health is the outcome of a health check.
 type Health uint8
 
