passthrough: a flow that is opened again from the same port is not taken for the closed one

What callers would see: an open flow is reset without any fault, six seconds after it was opened from the port of a flow that had just closed at the same target.

Cause: the opening packet was delivered under the closed entry, which is dropped after a pause of three seconds; the agent then denied the flow.

Change: an opening packet ends a closed entry.

--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -34,6 +34,9 @@
 // handleOpening delivers the opening packet of a flow if the target accepts new flows.
 func (c *Core) handleOpening(now time.Time, from netip.AddrPort, m steerwire.Forward, s segment.Segment) {
 	c.checkHeartbeatAge(now) // a paused agent handles packets before its timers
+	if f := c.flows[s.Flow]; f != nil && f.closed {
+		c.removeFlow(now, s.Flow, f) // another flow with the same addresses
+	}
 	if f := c.flows[s.Flow]; f != nil && f.phase != phaseProbing && c.state != steerwire.TargetDraining {
 		f.lastSeen, f.balancer = now, from
 		c.deliver(s.Flow, m.Packet)
