--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -350,6 +350,13 @@
 		case steer.FetchConfig:
 			b.fetchConfig(a.To)
 		case steer.Log:
+			if a.Entry.Event == "probed" {
+				for _, x := range s.agents {
+					if x.addr == a.Entry.Target {
+						x.lookupProbes[a.Entry.Flow]++
+					}
+				}
+			}
 			s.recordPlaced(b.addr, a.Entry)
 			s.logf("balancer %s %s flow=%s target=%s reason=%s n=%d", b.addr, a.Entry.Event, a.Entry.Flow.Src, a.Entry.Target, a.Entry.Reason, a.Entry.Detail)
 		}
@@ -372,6 +379,7 @@
 	objectIncarnation model.Incarnation  // of the process that wrote the object
 	removed           bool               // for good
 	probes            map[model.Flow]int // at this target, by this process
+	lookupProbes      map[model.Flow]int // sent by lookups of balancers
 	timer             timer
 }
 
@@ -392,6 +400,9 @@
 func (a *agent) start(firstStart bool) {
 	s := a.s
 	a.incarnation, a.probes = model.Incarnation(s.timeOfDay(a.addr)), map[model.Flow]int{}
+	if a.lookupProbes == nil {
+		a.lookupProbes = map[model.Flow]int{}
+	}
 	a.core = passthrough.New(s.clock(a.addr), passthrough.Options{
 		Node: model.NodeID("a" + a.addr.String()), Incarnation: a.incarnation, DataCentre: dataCentreOf(a.addr),
 		Service: a.target.service, HeartbeatInterval: heartbeatInterval, FlowIdleTimeout: s.flowIdleTimeout, FirstStart: firstStart, FullSegment: 1200,
--- a/internal/steersim/target_test.go
+++ b/internal/steersim/target_test.go
@@ -75,7 +75,7 @@
 
 // deliverToTarget handles a packet at the target, which bounces packets of flows that it
 // does not hold. The test fails if the target serves another service, unless it bounces the
-// packet and that is the only probe of the flow by its agent, or if it drains for longer than
+// packet and that is the only probe of the flow by its agent, sent by a lookup, or if it drains for longer than
 // drainGrace and gets a new flow.
 func (a *agent) deliverToTarget(g segment.Segment) {
 	s, t := a.s, a.target
@@ -83,7 +83,7 @@
 		return
 	}
 	h := t.flows[g.Flow]
-	probe := !g.Opens() && h == nil && a.probes[g.Flow] == 1
+	probe := !g.Opens() && h == nil && a.probes[g.Flow] == 1 && a.lookupProbes[g.Flow] > 0
 	if !probe && !s.routedTo(g.Flow.Dst, t.service) {
 		s.failFlow(g.Flow, "a packet of %s reached a target of %s", g.Flow.Dst, t.service)
 	}
