steer: a lookup ends although the agent of a silent target answers Unsure

A refusal for another reason than not_held is no denial any more. TestLookupAtASilentTargetEnds fails without the bound.

--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -242,7 +242,7 @@
 		return
 	}
 	if l := c.lookups[s.Flow]; f == nil && l != nil && l.misplaced && !l.idle {
-		c.handleReturnedProbe(now, s.Flow, l, from)
+		c.handleReturnedProbe(now, s.Flow, l, from, r.Reason)
 		return
 	}
 	if f != nil {
--- a/internal/steer/probes.go
+++ b/internal/steer/probes.go
@@ -64,7 +64,7 @@
 			l.toProbe = append(l.toProbe, a)
 		case l.probed[i].incarnation != t.report.Incarnation:
 			first = append(first, a)
-		default:
+		case now.Sub(l.startedAt) < probedLookupPeriod:
 			again = append(again, a)
 		}
 	}
@@ -95,10 +95,11 @@
 	}
 }
 
-// handleReturnedProbe handles a packet that an agent returned during a lookup: its target
-// does not hold the flow.
-func (c *Core) handleReturnedProbe(now time.Time, key model.Flow, l *lookup, from netip.AddrPort) {
-	l.unsure = slices.DeleteFunc(l.unsure, func(a netip.AddrPort) bool { return a == from })
+// handleReturnedProbe handles a packet that an agent returned during a lookup.
+func (c *Core) handleReturnedProbe(now time.Time, key model.Flow, l *lookup, from netip.AddrPort, reason steerwire.Reason) {
+	if reason == steerwire.ReasonNotHeld {
+		l.unsure = slices.DeleteFunc(l.unsure, func(a netip.AddrPort) bool { return a == from })
+	}
 	i := slices.Index(l.probing, from)
 	if i < 0 {
 		return
--- a/internal/steer/probes_test.go
+++ b/internal/steer/probes_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -177,3 +178,26 @@
 	}
 	t.Fatal("the restarted agent was not probed")
 }
+
+// Guards against lookups that go on long after their callers, because an agent of a silent
+// target neither returns nor confirms a probe.
+func TestLookupAtASilentTargetEnds(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA)
+	ready(c, start, 1, agentA)
+	const packetAt = 2000
+	for now := packetAt; now < 10000; now++ {
+		if now%250 == 0 {
+			report(c, ms(now), agentA, steerwire.Report{Incarnation: 1, Sequence: uint64(now), State: steerwire.TargetSilent, DataCentre: "dc-1"})
+		}
+		actions := c.Tick(ms(now))
+		if now == packetAt {
+			actions = c.Packet(ms(now), data(1), raw)
+		}
+		for queryCount(actions) > 0 {
+			actions = answer(c, ms(now), agentA, flowOf(1), steerwire.Unsure)
+			is.True(len(forwardedTo(actions)) == 0 || ms(now).Sub(ms(packetAt)) < probedLookupPeriod+time.Second)
+		}
+	}
+	is.Equal(len(c.lookups), 0)
+}
