passthrough: the answer to a copy of an opening packet proves nothing about another flow

What callers would see: packets of an open flow at a target that has only answered a copy of its opening packet, and a reset when that target bounces them late (found in review; whether the users' targets bounce in this state is not known).

Cause: while an agent does not know all flows, an entry with another acknowledgement counted as one that may be open; and a repeated answer confirmed that the target held a flow.

Change: a target that holds the flow repeats its first answer, so an acknowledgement within 16 MB of the answer means Unsure, and any other one NotHeld as before. An answer to an opening packet confirms neither a probe nor a flow. TestUnbouncedProbeAfterACopyIsNotConfirmed and TestRepeatedAnswerDoesNotMakeABounceALoss fail without the change; passthrough and steersim pass.

--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -160,7 +160,7 @@
 	case f == nil:
 		f = &flow{phase: phaseEstablished, createdAt: now, lastSeen: now}
 		if s.Accepts() {
-			f.phase, f.targetISN = phaseAccepted, s.Seq
+			f.phase, f.targetISN, f.mayPredate = phaseAccepted, s.Seq, c.mayHoldUnseen
 		}
 		if len(c.flows) < maxFlows {
 			c.flows[s.Flow] = f
@@ -170,7 +170,7 @@
 		if f.phase == phaseOpening || f.phase == phaseAccepted { // a restarted target answers a copy anew
 			f.phase, f.targetISN = phaseAccepted, s.Seq
 		}
-		if f.balancer.IsValid() {
+		if f.balancer.IsValid() && f.phase != phaseProbing {
 			c.send(f.balancer, steerwire.Message{Kind: steerwire.KindOpened, Opened: steerwire.Opened{Flow: s.Flow}})
 		}
 	case f.phase == phaseProbing:
@@ -180,7 +180,7 @@
 	}
 	if f != nil {
 		f.lastSeen = now
-		f.confirmedHeld = f.confirmedHeld || f.phase == phaseEstablished
+		f.confirmedHeld = f.confirmedHeld || f.phase == phaseEstablished && !s.Accepts()
 		if f.requestActive && (s.DataLen > 0 || s.Flags.Has(segment.RST)) {
 			c.recordOutcome(now, s.Flow, f, s.DataLen == 0)
 		}
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -62,6 +62,11 @@
 // maxFlows is the maximum number of flows in the flow table; a target holds a few thousand.
 const maxFlows = 65_536
 
+// maxAckAdvance bounds the bytes that a target has sent on a flow. It answers a late copy of
+// the opening packet with the sequence number of its first answer, which the caller has
+// acknowledged since; a target that holds another flow or none answers with another one.
+const maxAckAdvance = 1 << 24
+
 // maxUnansweredOpenings is the number of consecutive opening packets without an answer,
 // or bounced, at which the target is marked silent. A single packet may have been lost.
 const maxUnansweredOpenings = 2
@@ -172,8 +177,8 @@
 	callerFIN     bool
 	targetFIN     bool
 	closed        bool
-	// mayPredate is set if the target may have held the flow before the agent started. The
-	// opening packet that created the entry is then a late copy.
+	// mayPredate is set if the agent did not know all flows of its target when the entry was
+	// created, so that the opening packet may have been a late copy of an open flow's.
 	mayPredate bool
 	// confirmedHeld is set once it is certain that the target holds the flow: the caller
 	// acknowledged its answer, or the target sent a packet of the flow.
@@ -331,7 +336,7 @@
 		switch {
 		case f.phase == phaseEstablished, f.phase == phaseAccepted && ack == f.targetISN+1:
 			return steerwire.Held
-		case f.phase == phaseProbing, f.mayPredate:
+		case f.phase == phaseProbing, f.mayPredate && (f.phase == phaseOpening || ack-f.targetISN-1 < maxAckAdvance):
 			return steerwire.Unsure
 		}
 		return steerwire.NotHeld
--- a/internal/passthrough/probes_test.go
+++ b/internal/passthrough/probes_test.go
@@ -131,3 +131,36 @@
 	c.FromTarget(ms(6), response(2), nil) // of the flow that was open before
 	is.Equal(c.flowStatus(flowOf(2), later.Ack), steerwire.Held)
 }
+
+// Guards against an open flow's packets that stay at a target that has answered a copy of its
+// opening packet and neither takes nor bounces them.
+func TestUnbouncedProbeAfterACopyIsNotConfirmed(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	c.HandleHeartbeat(ms(2), heartbeat(1))
+	c.Registered(ms(2), 1)
+	forward(c, ms(10), syn(1))
+	c.FromTarget(ms(11), synAck(1), nil)
+	r := request(1)
+	r.Ack += 777777777 // of another target's answer
+	is.Equal(refusal(forward(c, ms(20), r)), steerwire.ReasonNotHeld)
+	c.FromTarget(ms(25), response(9), nil) // of another flow
+	c.Tick(ms(75))
+	is.Equal(c.flowStatus(flowOf(1), r.Ack), steerwire.NotHeld)
+}
+
+// Guards against the reset of an open flow because a target has repeated its answer to a copy
+// of the opening packet, which does not prove that the target holds the flow.
+func TestRepeatedAnswerDoesNotMakeABounceALoss(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	c.HandleHeartbeat(ms(2), heartbeat(1))
+	c.Registered(ms(2), 1)
+	r := request(1)
+	r.Ack += 777777777
+	forward(c, ms(20), r)
+	c.FromTarget(ms(25), response(9), nil)
+	c.Tick(ms(75)) // confirms the probe
+	c.FromTarget(ms(211), synAck(1), nil)
+	is.Equal(refusal(bounce(c, ms(212), r)), steerwire.ReasonNotHeld)
+}
