docs, tests: probes and starts of targets in plainer words; clock errors of the key tests are fixed

The tests of clock errors in keys step by 20 s whatever the product's bound is, so that a lower bound fails them.

--- a/internal/keys/clock_test.go
+++ b/internal/keys/clock_test.go
@@ -8,6 +8,9 @@
 	"github.com/matryer/is"
 )
 
+// maxClockError is the largest error of one clock that the tests play.
+const maxClockError = 20 * time.Second
+
 // stepClocks sets the clocks of some agents wrong by up to limit, a few times, and right again.
 func (s *sim) stepClocks(over, limit time.Duration) {
 	wrong := make([]time.Duration, len(s.agents))
@@ -34,7 +37,7 @@
 		if seed%2 == 0 {
 			s.opens = s.start.Add(60 * time.Second)
 		}
-		s.stepClocks(3*time.Minute, defaultClockSkew/2)
+		s.stepClocks(3*time.Minute, maxClockError)
 		for i := range s.agents {
 			s.boot(i)
 		}
@@ -67,9 +70,9 @@
 		s.runUntil(51 * time.Second)
 		key, first := ranKey(t, s, 0, timed)
 		s.crash(0, time.Second)
-		s.agents[0].clock.Step(-defaultClockSkew / 2)
+		s.agents[0].clock.Step(-maxClockError)
 		s.runUntil(s.now.Sub(s.start) + 10*time.Second)
-		s.agents[0].clock.Step(defaultClockSkew / 2) // right again
+		s.agents[0].clock.Step(maxClockError) // right again
 		o := s.sendAt(0, key, 6*time.Second)
 		is.Equal(o.refused, ReasonNoCoverage)
 		is.Equal(o.run, 0)
@@ -77,8 +80,8 @@
 	}
 }
 
-// Guards against a caller that is told that its request was not run, although it ran, because the clock
-// of an agent stepped back afterwards.
+// Guards against a request that is reported as not run although it ran, because the clock of an
+// agent stepped back afterwards.
 func TestFaultNoKeyIsReportedAsNotRunAfterItRan(t *testing.T) {
 	is := is.New(t)
 	s := newSim(1, 1)
@@ -87,10 +90,10 @@
 	s.boot(0)
 	s.runUntil(51 * time.Second)
 	key, _ := ranKey(t, s, 0, true)
-	s.agents[0].clock.Step(-defaultClockSkew / 2)
+	s.agents[0].clock.Step(-maxClockError)
 	o := s.sendAt(0, key, time.Second)
 	is.True(o.replay > 0 || o.outcome == message.OutcomeUnknown)
-	s.agents[0].clock.Step(defaultClockSkew / 2)
+	s.agents[0].clock.Step(maxClockError)
 	future := s.uuid7(s.now.Add(time.Hour), 1)
 	is.Equal(s.sendAt(0, future, time.Second).outcome, message.OutcomeNotRun)
 }
--- a/internal/steer/incarnations_test.go
+++ b/internal/steer/incarnations_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// Guards against a restarted agent that is not heard before the next regular hello.
+// Guards against a restarted agent whose reports are ignored until the next regular hello.
 func TestRestartedAgentIsGreetedAtItsFirstReport(t *testing.T) {
 	is := is.New(t)
 	agents := fleetOf(150) // hellos are 1.25 s apart
--- a/internal/steer/probes.go
+++ b/internal/steer/probes.go
@@ -9,11 +9,11 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
 )
 
-// An agent that started after its target answers Unsure, because the target may hold flows
-// that the agent has not seen. Such agents get the first packet of the lookup as a probe,
-// one after the other, or a few at a time if they are many: a target that does not hold the
-// flow bounces it. The lookup goes on
-// without further packets of the caller until a target has kept the probe.
+// An agent that may have started after its target answers Unsure, because the target may
+// hold flows that the agent has not seen. Such agents get the first packet of the lookup as
+// a probe, one at a time, or several at once if there are many: a target that does not hold
+// the flow bounces it. The lookup goes on without further packets of the caller until a
+// target has kept the probe.
 const (
 	// probeTimeout is the time after which a further agent is probed because a probe was
 	// neither returned nor confirmed. An agent confirms it 50 ms after the delivery at the
