--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -193,7 +193,9 @@
 		t.metrics.Count("messages_dropped", reasonOf(err), 1)
 		return
 	}
-	_, _ = t.conns[path].WriteToUDPAddrPort(answer, netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()))
+	if _, err := t.conns[path].WriteToUDPAddrPort(answer, netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())); err != nil {
+		t.metrics.Count("messages_dropped", "socket_write", 1)
+	}
 }
 
 // answerProbe answers a probe from the socket on which it arrived, so that the
