steer: all unsure agents are probed in eight round trips

Cause: the holder was the 57th of 68 agents to be probed, 1.4 s after the first, and its agent was restarting just then.

Change: so many agents are probed at once that the turn of each comes within eight round trips: one of up to 8 agents, 9 of 68, in place of 3.

--- a/internal/steer/probes.go
+++ b/internal/steer/probes.go
@@ -22,10 +22,10 @@
 	// probedLookupPeriod is the time from the first packet for which a lookup repeats its
 	// rounds after a probe. By then, agents that do not answer are lost.
 	probedLookupPeriod = agentLossTimeout + 500*time.Millisecond
-	// maxProbeRounds is the maximum number of round trips until all agents are probed. Of
-	// hundreds of agents several are probed at once, so that the holder's turn comes before
-	// the packets at other targets count as misdirected.
-	maxProbeRounds = 32
+	// maxProbeRounds is the maximum number of round trips until all agents are probed. Of more
+	// agents several are probed at once, so that the holder's turn comes before the packets
+	// at other targets count as misdirected.
+	maxProbeRounds = 8
 	// leavingProbePeriod is the time after its stop began for which a balancer starts to
 	// probe. It ends later by more than the restart of an agent takes.
 	leavingProbePeriod = time.Second
