--- a/internal/docgen/sweep.go
+++ b/internal/docgen/sweep.go
@@ -65,7 +65,7 @@
 | reports of an agent | as many as hellos it gets | one for each hello | nothing once hellos are bounded |
 | writes after the store is restored from a copy | one for each agent that the copy lacks: 8,600 starts a day are 1 in 10 s | only agents that a listing lacks write | a copy from before most agents: 59,000 writes, minutes at several hundred a second |
 | lookups | every agent once for each flow that no balancer of the data centre knows | hints first, batches, answers kept | 59,000 queries a flow: the agents of the address's services first |
-| probes | the first packet of such a flow at each agent that does not know all flows of its target, up to `flow_idle` after its start | one at a time, or an eighth of them at once | after a restart of all agents a full packet at every target for a flow that has ended: the targets of the address's services only, which needs earlier configurations to be known at a balancer's start |
+| probes | the first packet of such a flow at each agent that does not know all flows of its target, up to flow_idle after its start | one at a time, or an eighth of them at once | after a restart of all agents a full packet at every target for a flow that has ended: the targets of the address's services only, which needs earlier configurations to be known at a balancer's start |
 | memory of a balancer | 12.3 MB by the sweep; an agent's entry and report take about 0.5 kB, 30 MB for 59,000 | maps | fits 256 MB |
 
 The first four rows are arithmetic on the intervals in internal/steer and internal/passnode; the entry of an agent is an
