passthrough: a copy of a probe starts no second request

Cause: the holder of a flow gets the packet of a probe a second time when several agents are probed at once. The entry of a probed flow did not know how far the caller's data goes, so the copy counted as a new request, which the target had answered already: the request stayed active and took a slot until it expired.

TestCopyOfAProbeStartsNoRequest fails without the change.

Change: the entry of a probed flow records the end of the probe's data.

--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -69,7 +69,7 @@
 	case (f == nil || f.phase != phaseProbing) && c.flowStatus(s.Flow, s.Ack) == steerwire.Unsure:
 		// The agent started after the target, so the target may hold the flow. It
 		// bounces the packet if it does not.
-		f = &flow{phase: phaseProbing, balancer: from, createdAt: now, lastSeen: now}
+		f = &flow{phase: phaseProbing, balancer: from, createdAt: now, lastSeen: now, callerNextSeq: s.Seq + uint32(s.DataLen)}
 		c.flows[s.Flow] = f
 		c.deliveredProbes = append(c.deliveredProbes, deliveredProbe{deliveredPacket: deliveredPacket{flow: s.Flow, deliveredAt: now}, checkAt: now.Add(probeTimeout)})
 		c.log(Entry{Event: "probed", Flow: s.Flow, Age: now.Sub(c.started)})
--- a/internal/passthrough/probes_test.go
+++ b/internal/passthrough/probes_test.go
@@ -164,3 +164,15 @@
 	c.FromTarget(ms(211), synAck(1), nil)
 	is.Equal(refusal(bounce(c, ms(212), r)), steerwire.ReasonNotHeld)
 }
+
+// Guards against a slot that stays taken because a copy of a probe counts as a second request,
+// which the target has answered already.
+func TestCopyOfAProbeStartsNoRequest(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	c.HandleHeartbeat(start, heartbeat(7))
+	is.Equal(delivered(forward(c, ms(1), request(1))), 1) // as a probe
+	c.FromTarget(ms(20), response(1), nil)
+	is.Equal(delivered(forward(c, ms(21), request(1))), 1)
+	is.Equal(c.load.requests, 0)
+}
