passnode, storeclient: log failed watch calls and the age of the configuration

Batches of a watch now tell as of when they are complete, each failed call writes watch_failed with the age and the error, and configuration_in_effect has the age of what was known before. No logic changed.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -93,7 +93,7 @@
 		_ = s.client.Watch(ctx, DecisionFilesPrefix, from, func(b storeclient.Batch) error {
 			s.handleBatch(ctx, b)
 			return nil
-		})
+		}, storeclient.OnWatchError(func(err error) { s.logger.Warn("store watch failed", "err", err) }))
 		return nil
 	})
 }
--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -78,6 +78,7 @@
 	removeRequests  chan removal        // agents whose objects are to be removed
 	reader          *readerRole
 	confirmRequests chan struct{} // signals that the configuration is to be confirmed
+	views           *views
 	// listed holds the agents' objects in the listing that the core knows. Only the loop
 	// uses it.
 	listed map[netip.AddrPort]listedAgent
@@ -85,7 +86,7 @@
 
 // NewBalancer returns a balancer with its sockets bound.
 func NewBalancer(opts BalancerOptions) (*Balancer, error) {
-	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1)}
+	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1), views: newViews()}
 	b.loop = newLoop(opts.Metrics, b.logWriter)
 	b.loop.handleDatagram, b.loop.tick, b.loop.next = b.handleDatagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -281,8 +282,9 @@
 					b.applyConfig(watchCtx, ch.Version, ch.Content, "store")
 				}
 			}
+			b.views.confirm(viewConfig, batch.AsOf)
 			return watchCtx.Err()
-		})
+		}, storeclient.OnWatchError(func(err error) { b.logWatchError(watchCtx, err) }))
 		ended := watchCtx.Err() != nil
 		stop()
 		if !ended {
@@ -292,13 +294,21 @@
 	return nil
 }
 
+// logWatchError logs a failed call of the watch of the configuration. The age is that of
+// the last confirmation.
+func (b *Balancer) logWatchError(ctx context.Context, err error) {
+	_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
+		b.logWriter.enqueue(now, "watch_failed", "view", viewConfig, "age_ms", b.views.age(viewConfig, now).Milliseconds(), "err", err.Error())
+	})
+}
+
 // readFirstConfig reads the configuration from the store until there is one from any
 // source. It waits for the decision files, but at most
 // steer.FirstDecisionsTimeout.
 func (b *Balancer) readFirstConfig(ctx context.Context) {
 	began := time.Now()
 	for ctx.Err() == nil && b.config.Load() == nil {
-		pause := firstConfigRetryInterval
+		pause, sentAt := firstConfigRetryInterval, time.Now()
 		o, err := b.opts.Store.Get(ctx, b.opts.ConfigPath)
 		if err == nil {
 			select {
@@ -307,6 +317,7 @@
 			case <-ctx.Done():
 			}
 			b.applyConfig(ctx, o.Version, o.Content, "store")
+			b.views.confirm(viewConfig, sentAt)
 			return
 		}
 		if storeclient.KindOf(err) == storeclient.NotFound {
@@ -327,8 +338,10 @@
 			return nil
 		case <-b.confirmRequests:
 		}
+		sentAt := time.Now()
 		if o, err := b.opts.Store.Get(ctx, b.opts.ConfigPath); err == nil {
 			b.applyConfig(ctx, o.Version, o.Content, "store")
+			b.views.confirm(viewConfig, sentAt)
 		}
 		_ = b.loop.call(ctx, func(now time.Time) { b.execute(now, b.core.ConfigConfirmed(now)) }) // fails only at shutdown
 	}
@@ -352,7 +365,7 @@
 		}
 		if b.core.Config() != old {
 			b.config.Store(&sharedConfig{Revision: revision, Content: json.RawMessage(content)})
-			b.logWriter.enqueue(now, "configuration_in_effect", "source", source, "revision", revision, "config_version", next.Version)
+			b.logWriter.enqueue(now, "configuration_in_effect", "source", source, "revision", revision, "config_version", next.Version, "age_ms", b.views.age(viewConfig, now).Milliseconds())
 			b.opts.Metrics.Count(CounterConfig, source, 1)
 		}
 		b.publishReadiness(now)
--- a/internal/storeclient/watch.go
+++ b/internal/storeclient/watch.go
@@ -18,18 +18,30 @@
 // without a change, which still shows that the store is reachable.
 type Batch struct {
 	Position Position // after which the watch continues
+	// AsOf is when the call was sent: the batches up to this one contain every change that
+	// the store had accepted by then.
+	AsOf time.Time
 	// Reset means that Changes is the complete state as of Position or later: any
 	// object at or below Position that it does not list was removed.
 	Reset   bool
 	Changes []Change
 }
 
+// WatchOption is an option of Watch.
+type WatchOption func(*watch)
+
+// OnWatchError calls f after each failed call of a watch, before the call is repeated.
+func OnWatchError(f func(err error)) WatchOption { return func(w *watch) { w.onError = f } }
+
 // Watch passes the changes under prefix after a position to handle, in order, until ctx
 // is done or handle returns an error. It lists all objects first if the position is
 // zero, and again if the store's history no longer reaches back to it or the store has
 // been restored since. It retries failed calls.
-func (c *Client) Watch(ctx context.Context, prefix string, after Position, handle func(Batch) error) error {
+func (c *Client) Watch(ctx context.Context, prefix string, after Position, handle func(Batch) error, options ...WatchOption) error {
 	w := watch{client: c, prefix: prefix, after: after, relist: after == Position{}}
+	for _, o := range options {
+		o(&w)
+	}
 	failures := 0
 	for ctx.Err() == nil {
 		batch, err := w.next(ctx)
@@ -44,6 +56,9 @@
 			break
 		}
 		c.opts.Counter.Count(CounterRetries, "watch_"+KindOf(err).String(), 1)
+		if w.onError != nil {
+			w.onError(err)
+		}
 		if failures++; KindOf(err) == TooOld || KindOf(err) == Outdated {
 			failures = 1 // the store answers, so the listing need not wait long
 		}
@@ -64,6 +79,7 @@
 	// after a revision of an earlier epoch may wait although there are changes, so the first
 	// call and those after a failure do not wait.
 	confirmed bool
+	onError   func(err error) // may be nil
 }
 
 func (w *watch) next(ctx context.Context) (Batch, error) {
@@ -79,6 +95,7 @@
 		wait = w.client.opts.WatchWait
 	}
 	w.confirmed = false
+	sentAt := time.Now()
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -106,17 +123,18 @@
 		return Batch{}, err
 	}
 	w.after, w.confirmed = Position{Epoch: epoch, Revision: out.Revision}, true
-	return Batch{Position: w.after, Changes: out.Changes}, nil
+	return Batch{Position: w.after, AsOf: sentAt, Changes: out.Changes}, nil
 }
 
 func (w *watch) list(ctx context.Context) (Batch, error) {
 	w.relist = true
+	sentAt := time.Now()
 	l, err := w.client.List(ctx, w.prefix)
 	if err != nil {
 		return Batch{}, err
 	}
 	w.after, w.relist, w.confirmed = l.Position, false, true
-	b := Batch{Position: l.Position, Reset: true}
+	b := Batch{Position: l.Position, AsOf: sentAt, Reset: true}
 	for _, o := range l.Objects {
 		b.Changes = append(b.Changes, Change{Object: o})
 	}
