storeclient: a watch call after a failure does not wait, and waits are short

Cause: nothing but the watch reads the configuration. A watch call that the store does not answer is given up after its wait and the timeout (5.7 s on the platform, 28 s by default). The next call asked for the full wait again, because a store that does not tell its epoch has no reason for a first call without one. A call that was sent while the store was silent therefore hid all changes of the 5.7 s after it. The same holds for a connection that goes silent.

Change: calls after a failure do not wait. Waits are 1.5 s on the platform and 1.2 s by default, reads have a timeout of their own, twice as long when repeated so that a slow store is read too, and pauses are at most 0.4 s. MaxWatchAge is the bound that follows; a test holds it and 0.5 s for the spread against the 3 s of all deployments. A store that ends waits early gets no more than one call per pause.

--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -36,10 +37,13 @@
 // Defaults of Options.
 const (
 	DefaultAttemptTimeout = 3 * time.Second
+	DefaultReadTimeout    = time.Second
 	DefaultReadAttempts   = 5
 	DefaultBackoff        = 50 * time.Millisecond
-	DefaultMaxBackoff     = 2 * time.Second
-	DefaultWatchWait      = 25 * time.Second
+	DefaultMaxBackoff     = 400 * time.Millisecond
+	// DefaultWatchWait is short because a watch whose connection goes silent misses changes
+	// until the wait has ended. Only a few processes of a data centre watch.
+	DefaultWatchWait = 1200 * time.Millisecond
 	// maxResponseBytes fits a page of 1 MB of content plus one object, in base64.
 	maxResponseBytes = 4 << 20
 )
@@ -53,13 +57,17 @@
 type Options struct {
 	URL            string        // http://IP:port of the store
 	AttemptTimeout time.Duration // of each attempt of a call
-	ReadAttempts   int           // attempts of a read, including the first
-	Backoff        time.Duration // before the first retry; doubles with each retry
-	MaxBackoff     time.Duration
-	WatchWait      time.Duration // maximum wait of a watch call
-	MaxWriteDelay  time.Duration // after which a lost write no longer takes effect
-	Seed           uint64        // seed of the backoff jitter
-	Counter        Counter       // may be nil
+	// ReadTimeout is the timeout of the first attempt of a read, and of a watch call beyond
+	// its wait. Further attempts have twice the time, in case that the store is slow. It is
+	// at most AttemptTimeout.
+	ReadTimeout   time.Duration
+	ReadAttempts  int           // attempts of a read, including the first
+	Backoff       time.Duration // before the first retry; doubles with each retry
+	MaxBackoff    time.Duration
+	WatchWait     time.Duration // maximum wait of a watch call
+	MaxWriteDelay time.Duration // after which a lost write no longer takes effect
+	Seed          uint64        // seed of the backoff jitter
+	Counter       Counter       // may be nil
 	// Transport sends the requests; nil opens a new connection for each call. An
 	// adapter for a store with another API translates requests here.
 	Transport http.RoundTripper
@@ -84,6 +92,8 @@
 		return nil, trace.BadParameter("store URL %q must be http://host:port or https://host:port", opts.URL)
 	}
 	setDefault(&opts.AttemptTimeout, DefaultAttemptTimeout)
+	setDefault(&opts.ReadTimeout, DefaultReadTimeout)
+	opts.ReadTimeout = min(opts.ReadTimeout, opts.AttemptTimeout)
 	setDefault(&opts.ReadAttempts, DefaultReadAttempts)
 	setDefault(&opts.Backoff, DefaultBackoff)
 	setDefault(&opts.MaxBackoff, DefaultMaxBackoff)
@@ -121,6 +131,7 @@
 	path      string
 	query     url.Values
 	body      []byte
+	timeout   time.Duration // AttemptTimeout if zero
 	watchWait time.Duration // wait requested from the store, added to the timeout
 }
 
@@ -168,7 +179,7 @@
 // response to a read is refused as Outdated if a later epoch is known.
 func (c *Client) doOnce(ctx context.Context, k call, out any) (epoch uint64, err error) {
 	c.opts.Counter.Count(CounterCalls, k.label(), 1)
-	ctx, cancel := context.WithTimeout(ctx, c.opts.AttemptTimeout+k.watchWait)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(k.timeout, c.opts.AttemptTimeout)+k.watchWait)
 	defer cancel()
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -250,6 +261,7 @@
 // read makes a read-only call with retries and returns the epoch of the response.
 func (c *Client) read(ctx context.Context, k call, out any) (epoch uint64, err error) {
 	for attempt := 1; ; attempt++ {
+		k.timeout = c.readTimeout(attempt)
 		epoch, err := c.doOnce(ctx, k, out)
 		if err == nil || attempt >= c.opts.ReadAttempts || !KindOf(err).retryable() || ctx.Err() != nil {
 			return epoch, err
@@ -261,6 +273,14 @@
 	}
 }
 
+// readTimeout returns the timeout of an attempt of a read, counted from 1.
+func (c *Client) readTimeout(attempt int) time.Duration {
+	if attempt == 1 {
+		return c.opts.ReadTimeout
+	}
+	return 2 * c.opts.ReadTimeout
+}
+
 // sleepBeforeRetry waits before retry n for the backoff or the store's Retry-After,
 // whichever is longer. Retry-After is capped at MaxBackoff.
 func (c *Client) sleepBeforeRetry(ctx context.Context, n int, err error) error {
--- a/internal/storeclient/watch.go
+++ b/internal/storeclient/watch.go
@@ -42,11 +42,10 @@
 	for _, o := range options {
 		o(&w)
 	}
-	failures := 0
 	for ctx.Err() == nil {
 		batch, err := w.next(ctx)
 		if err == nil {
-			failures = 0
+			w.failures = 0
 			if err := handle(batch); err != nil {
 				return err
 			}
@@ -59,16 +58,24 @@
 		if w.onError != nil {
 			w.onError(err)
 		}
-		if failures++; KindOf(err) == TooOld || KindOf(err) == Outdated {
-			failures = 1 // the store answers, so the listing need not wait long
+		if w.failures++; KindOf(err) == TooOld || KindOf(err) == Outdated {
+			w.failures = 1 // the store answers, so the listing need not wait long
 		}
-		if c.sleepBeforeRetry(ctx, failures, err) != nil {
+		if c.sleepBeforeRetry(ctx, w.failures, err) != nil {
 			break
 		}
 	}
 	return ctx.Err()
 }
 
+// MaxWatchAge returns the maximum time from a change to its delivery by Watch while the
+// store answers new calls: a connection that has gone silent is given up after the wait
+// and the timeout, and the next call does not wait. After an outage it is the timeout and
+// the pause of a call that the store did not get.
+func (c *Client) MaxWatchAge() time.Duration {
+	return max(c.opts.WatchWait+c.opts.ReadTimeout+c.opts.Backoff, c.readTimeout(2)+c.opts.MaxBackoff)
+}
+
 // watch is the state of one Watch.
 type watch struct {
 	client *Client
@@ -77,8 +84,10 @@
 	relist bool // the state must be listed before the watch continues
 	// confirmed is set while after is known to be of the store's current epoch. A watch
 	// after a revision of an earlier epoch may wait although there are changes, so the first
-	// call and those after a failure do not wait.
+	// call does not wait if there are epochs. Those after a failure never do, because a call
+	// that waits takes long to fail if the store does not answer.
 	confirmed bool
+	failures  int             // consecutive failed calls
 	onError   func(err error) // may be nil
 }
 
@@ -90,9 +99,9 @@
 	if w.after.Epoch != 0 && epoch > w.after.Epoch {
 		return w.list(ctx)
 	}
-	var wait time.Duration
-	if w.confirmed || epoch == 0 {
-		wait = w.client.opts.WatchWait
+	k := call{method: http.MethodGet, path: storeapi.WatchPath, timeout: w.client.readTimeout(w.failures + 1)}
+	if w.confirmed || epoch == 0 && w.failures == 0 {
+		k.watchWait = w.client.opts.WatchWait
 	}
 	w.confirmed = false
 	sentAt := time.Now()
@@ -106,11 +115,11 @@
 		}
 	}()
 	var out storeapi.Changes
-	q := url.Values{
+	k.query = url.Values{
 		"prefix": {w.prefix}, "after": {strconv.FormatUint(w.after.Revision, 10)},
-		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+		"wait_ms": {strconv.FormatInt(k.watchWait.Milliseconds(), 10)},
 	}
-	epoch, err := w.client.doOnce(callCtx, call{method: http.MethodGet, path: storeapi.WatchPath, query: q, watchWait: wait}, &out)
+	epoch, err := w.client.doOnce(callCtx, k, &out)
 	latest, _ := w.client.Epoch()
 	switch {
 	case w.after.Epoch != 0 && latest > w.after.Epoch:
@@ -123,6 +132,9 @@
 		return Batch{}, err
 	}
 	w.after, w.confirmed = Position{Epoch: epoch, Revision: out.Revision}, true
+	if rest := k.watchWait - time.Since(sentAt); len(out.Changes) == 0 && rest > 0 {
+		_ = sleep(ctx, min(rest, w.client.opts.MaxBackoff)) // the store cut the wait short
+	}
 	return Batch{Position: w.after, AsOf: sentAt, Changes: out.Changes}, nil
 }
 
