--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -327,3 +327,26 @@
 	_, found := Parse("x.yaml", []byte(strings.Repeat("a: 1\n", 6_000)))
 	is.New(t).True(len(found) > 50 && len(found) < 110)
 }
+
+func TestFaultOddDecisionFileHidesTheOthers(t *testing.T) {
+	good := "service: dispatch\naddresses: [10.80.0.1:80]\n"
+	base, _ := Merge(map[string][]byte{"20-good.yaml": []byte(good)})
+	for name, odd := range map[string]string{
+		"deep lists":        "addresses: " + strings.Repeat("[", 16_000) + strings.Repeat("]", 16_000),
+		"deep mappings":     "a: " + strings.Repeat("{a: ", 6_000) + strings.Repeat("}", 6_000),
+		"unclosed":          strings.Repeat("[", 32_000),
+		"port out of range": "service: x\naddresses: [10.80.0.2:70000]\n",
+		"number too large":  "target: x\nweight: 1e999999\n",
+		"not text":          "\xff\xfe\x00",
+		"empty":             "",
+		"too large":         strings.Repeat("[", 1<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, findings := Merge(map[string][]byte{"10-odd.yaml": []byte(odd), "20-good.yaml": []byte(good)})
+			is.True(len(findings) > 0)
+			is.Equal(s.NumServices(), base.NumServices())
+			is.Equal(base.NumServices(), 1)
+		})
+	}
+}
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -362,9 +362,12 @@
 			return c.list(ctx, q) // the first pages are from before the store was restored
 		}
 		out.Objects = append(out.Objects, page.Objects...)
-		if !page.More || len(page.Objects) == 0 {
+		if !page.More {
 			return out, nil
 		}
+		if len(page.Objects) == 0 {
+			return Listing{}, &Error{Kind: Lost, Call: "list " + q.Get("prefix"), Message: "a page that is not the last one has no objects"}
+		}
 		after = page.Objects[len(page.Objects)-1].Path
 	}
 }
