steer: the age of the configuration is known at every balancer, and bounded

While the readers wait for a store that is silent for them, it keeps its configuration without knowing its age: until their listings have failed for 4 s and the next in rank reads.

Change: the core knows as of when its configuration is complete. Readers confirm it with each answer to their watch, at least every 1.5 s, and hellos pass the age on. Ages of hellos that waited while the process was paused do not count.

--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -78,7 +78,7 @@
 	removeRequests  chan removal        // agents whose objects are to be removed
 	reader          *readerRole
 	confirmRequests chan struct{} // signals that the configuration is to be confirmed
-	views           *views
+	configAge       atomic.Int64  // of the configuration in effect, in milliseconds
 	// listed holds the agents' objects in the listing that the core knows. Only the loop
 	// uses it.
 	listed map[netip.AddrPort]listedAgent
@@ -86,7 +86,7 @@
 
 // NewBalancer returns a balancer with its sockets bound.
 func NewBalancer(opts BalancerOptions) (*Balancer, error) {
-	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1), views: newViews()}
+	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1)}
 	b.loop = newLoop(opts.Metrics, b.logWriter)
 	b.loop.handleDatagram, b.loop.tick, b.loop.next = b.handleDatagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -94,7 +94,10 @@
 	b.core.AddSeeds(now, opts.Core.Seeds)
 	starting := "starting"
 	b.unreadyReason.Store(&starting)
-	var err error
+	err := opts.Metrics.Gauge(GaugeConfigAge, b.configAge.Load)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if b.fabric, err = listen(opts.FabricAddr, b.loop.datagrams); err != nil {
 		return nil, err
 	}
@@ -162,6 +165,7 @@
 
 func (b *Balancer) tick(now time.Time) {
 	b.execute(now, b.core.Tick(now))
+	b.configAge.Store(b.core.ConfigAge(now).Milliseconds())
 	b.publishReadiness(now)
 	if reads := b.core.ReadsStore(now); b.reader.set(reads) {
 		b.logWriter.enqueue(now, "store_reader", "reader", reads, "peers", b.core.Peers())
@@ -282,7 +286,7 @@
 					b.applyConfig(watchCtx, ch.Version, ch.Content, "store")
 				}
 			}
-			b.views.confirm(viewConfig, batch.AsOf)
+			b.confirmConfig(watchCtx, batch.AsOf)
 			return watchCtx.Err()
 		}, storeclient.OnWatchError(func(err error) { b.logWatchError(watchCtx, err) }))
 		ended := watchCtx.Err() != nil
@@ -294,11 +298,16 @@
 	return nil
 }
 
-// logWatchError logs a failed call of the watch of the configuration. The age is that of
-// the last confirmation.
+// confirmConfig tells the core that the store had no later configuration at asOf.
+func (b *Balancer) confirmConfig(ctx context.Context, asOf time.Time) {
+	_ = b.loop.call(ctx, func(now time.Time) { b.execute(now, b.core.ConfigCurrent(now, asOf)) }) // fails only at shutdown
+}
+
+// logWatchError logs a failed call of the watch of the configuration, with the age of the
+// configuration.
 func (b *Balancer) logWatchError(ctx context.Context, err error) {
 	_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
-		b.logWriter.enqueue(now, "watch_failed", "view", viewConfig, "age_ms", b.views.age(viewConfig, now).Milliseconds(), "err", err.Error())
+		b.logWriter.enqueue(now, "watch_failed", "age_ms", b.core.ConfigAge(now).Milliseconds(), "err", err.Error())
 	})
 }
 
@@ -317,7 +326,7 @@
 			case <-ctx.Done():
 			}
 			b.applyConfig(ctx, o.Version, o.Content, "store")
-			b.views.confirm(viewConfig, sentAt)
+			b.confirmConfig(ctx, sentAt)
 			return
 		}
 		if storeclient.KindOf(err) == storeclient.NotFound {
@@ -341,7 +350,7 @@
 		sentAt := time.Now()
 		if o, err := b.opts.Store.Get(ctx, b.opts.ConfigPath); err == nil {
 			b.applyConfig(ctx, o.Version, o.Content, "store")
-			b.views.confirm(viewConfig, sentAt)
+			b.confirmConfig(ctx, sentAt)
 		}
 		_ = b.loop.call(ctx, func(now time.Time) { b.execute(now, b.core.ConfigConfirmed(now)) }) // fails only at shutdown
 	}
@@ -357,7 +366,7 @@
 	}
 	next.Revision = revision
 	_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
-		old := b.core.Config()
+		old, age := b.core.Config(), b.core.ConfigAge(now)
 		if source == "store" {
 			b.execute(now, b.core.SetConfig(now, next))
 		} else {
@@ -365,13 +374,16 @@
 		}
 		if b.core.Config() != old {
 			b.config.Store(&sharedConfig{Revision: revision, Content: json.RawMessage(content)})
-			b.logWriter.enqueue(now, "configuration_in_effect", "source", source, "revision", revision, "config_version", next.Version, "age_ms", b.views.age(viewConfig, now).Milliseconds())
+			b.logWriter.enqueue(now, "configuration_in_effect", "source", source, "revision", revision, "config_version", next.Version, "age_ms", age.Milliseconds())
 			b.opts.Metrics.Count(CounterConfig, source, 1)
 		}
 		b.publishReadiness(now)
 	})
 }
 
+// GaugeConfigAge is the age of the configuration in effect in milliseconds.
+const GaugeConfigAge = "passnode_configuration_age_ms"
+
 // CounterConfig counts configurations put into effect by source, and failures by reason.
 const CounterConfig = "passnode_configurations"
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -288,6 +288,7 @@
 	actions             []Action
 	candidates          []candidate
 	lastConfigFetch     time.Time // when FetchConfig was last issued
+	configAge           configAge
 	unconfirmedSince    time.Time // end of a pause after which the configuration is not confirmed yet
 	storeFailing        bool      // the last call to the store failed
 	store               storeHistory
@@ -336,6 +337,7 @@
 		return c.actions
 	}
 	c.replaceConfig(now, next, advertise)
+	c.adoptPeerConfigAge(now)
 	return c.actions
 }
 
@@ -345,6 +347,9 @@
 	next := c.decisions.apply(base)
 	c.log(Entry{Event: "configuration", Version: next.Version, Detail: next.routeCount()})
 	c.saveFormerShares(next)
+	if c.base == nil {
+		c.configAge.learnedAt = now
+	}
 	c.base, c.config = base, next
 	c.unconfirmedSince = time.Time{}
 	c.replayPreConfig(now)
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -104,6 +104,7 @@
 	knownSince   time.Time // when its address became known
 	incarnation  model.Incarnation
 	config       configStamp
+	configAsOf   time.Time // its configuration is complete as of this time, zero if not known
 	decisions    Decisions // revision and digest of its decision files
 	wantsAgents  bool
 	seed         bool
@@ -288,16 +289,21 @@
 	if h.Node == c.options.Node {
 		return // a seed address may be this balancer's own
 	}
+	c.detectPause(now)
 	p := c.addPeer(now, from, false)
 	isNew := p.lastHello.IsZero() || p.incarnation != h.Incarnation
 	if isNew {
 		c.log(Entry{Event: "balancer", Target: from, Reason: "heard", Version: h.ConfigVersion})
-		p.config, p.decisions = configStamp{}, Decisions{}
+		p.config, p.decisions, p.configAsOf = configStamp{}, Decisions{}, time.Time{}
 	}
 	c.setStoreEpoch(now, h.Epoch, time.Duration(h.EpochAgeMillis)*time.Millisecond, "hello")
 	p.lastHello, p.incarnation, p.wantsAgents = now, h.Incarnation, h.WantAgents
-	if next := (configStamp{h.Revision, h.ConfigVersion}); next.newerThan(p.config) {
-		p.config = next
+	next := configStamp{h.Revision, h.ConfigVersion}
+	if next.newerThan(p.config) {
+		p.config, p.configAsOf = next, time.Time{}
+	}
+	if asOf := now.Add(-time.Duration(h.ConfigAgeMillis) * time.Millisecond); h.ConfigAgeMillis > 0 && next == p.config && asOf.After(p.configAsOf) {
+		p.configAsOf = asOf
 	}
 	epoch := cmp.Or(h.DecisionsEpoch, c.decisions.Epoch) // a peer of an earlier release sends the revision only
 	if next := (Decisions{Epoch: epoch, Revision: h.Decisions, Digest: h.DecisionDigest}); h.Decisions > 0 && next.newerThan(p.decisions) {
@@ -314,6 +320,7 @@
 	if !h.Reply && (isNew || h.WantAgents) {
 		c.send(from, c.peerHelloMessage(now, p, true))
 	}
+	c.adoptPeerConfigAge(now)
 	c.fetchNewerConfig(now)
 }
 
@@ -346,6 +353,7 @@
 	m := c.helloMessage(now, reply)
 	m.Hello.DataCentre = c.options.DataCentre
 	m.Hello.WantAgents = now.Sub(c.started) < startupPeriod
+	m.Hello.ConfigAgeMillis = c.configAgeMillis(now)
 	m.Hello.NoStore = c.leaving || c.storeFailing
 	for _, t := range c.targets {
 		if t.lost(now) && len(m.Hello.Lost) < steerwire.MaxPeers {
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -26,11 +26,12 @@
 	misdirectedLimit  = 3               // packets in misdirectedWindow
 	drainGrace        = 3 * time.Second // from an accepted drain until no new flow may arrive
 	heartbeatInterval = time.Second
-	remoteDelay       = 3 * time.Millisecond   // one way, between data centres
-	localDelay        = 100 * time.Microsecond // one way, within a data centre or a VM
-	callerDelay       = time.Millisecond       // one way, between a caller and the deployment
-	storeDelay        = 8 * time.Millisecond   // of a call to the store
-	storePoll         = 50 * time.Millisecond  // until a watch of the store delivers a change
+	remoteDelay       = 3 * time.Millisecond    // one way, between data centres
+	localDelay        = 100 * time.Microsecond  // one way, within a data centre or a VM
+	callerDelay       = time.Millisecond        // one way, between a caller and the deployment
+	storeDelay        = 8 * time.Millisecond    // of a call to the store
+	storePoll         = 50 * time.Millisecond   // until a watch of the store delivers a change
+	watchWait         = 1500 * time.Millisecond // after which a call of a watch without a change ends
 	// readerListInterval is the interval of a reader's listings of the agents.
 	readerListInterval = 2 * time.Second
 	advertiseInterval  = 200 * time.Millisecond // of an agent's reports to the seeds
@@ -76,6 +77,7 @@
 	storeCut      func(a netip.AddrPort) bool    // reports whether a process cannot reach the store
 	clockOffset   map[netip.Addr]time.Duration   // of the time of day on a VM
 	listings      int                            // listings of the agents that the store served
+	confirms      int                            // reads of the configuration beside the watches
 	watches       int                            // configurations that the store sent to balancers
 	registrations int                            // objects that agents have written again
 	port          uint16
@@ -228,6 +230,7 @@
 	lastStoreAnswer time.Time
 	lastRead        *steer.Config // last configuration read from the store
 	lastListing     time.Time     // of the agents, as a reader
+	lastWatchEnd    time.Time     // when a call of the watch last ended
 	removed         bool          // for good
 	timer           timer
 }
@@ -274,6 +277,10 @@
 				b.lastRead = s.config
 				b.execute(core.SetConfig(s.clock(b.addr), s.config))
 			}
+			if s.now.Sub(b.lastWatchEnd) >= watchWait {
+				b.lastWatchEnd = s.now
+				b.execute(core.ConfigCurrent(s.clock(b.addr), s.clock(b.addr)))
+			}
 		}
 		core.SetStoreReachable(s.now.Sub(b.lastStoreAnswer) < storeFailureTime)
 	}
@@ -349,6 +356,21 @@
 			s.removeObject(b, a)
 		case steer.FetchConfig:
 			b.fetchConfig(a.To)
+		case steer.ConfirmConfig:
+			s.confirms++
+			if s.storeCut(b.addr) {
+				continue
+			}
+			core, asOf := b.core, s.clock(b.addr)
+			s.after(s.storeTime(), func() {
+				s.whenAwake(b.addr, func() {
+					if b.core == core {
+						b.execute(core.SetConfig(s.clock(b.addr), s.config))
+						b.execute(core.ConfigCurrent(s.clock(b.addr), asOf))
+						b.execute(core.ConfigConfirmed(s.clock(b.addr)))
+					}
+				})
+			})
 		case steer.Log:
 			if a.Entry.Event == "probed" {
 				for _, x := range s.agents {
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -210,6 +210,9 @@
 	DecisionsEpoch uint64 `cbor:"16,keyasint,omitzero"`
 	// Unlisted is set if the store did not list the receiving agent lately. Sent to agents.
 	Unlisted bool `cbor:"15,keyasint,omitzero"`
+	// ConfigAgeMillis is the time since the configuration in effect was known to be the last
+	// one in the store, rounded up; 0 if it is not known. Sent to balancers.
+	ConfigAgeMillis int64 `cbor:"18,keyasint,omitzero"`
 	// ID increases with each hello of the sending process to an agent. The first one is
 	// random, so that the IDs of successive processes differ.
 	ID uint64 `cbor:"17,keyasint,omitzero"`
--- a/internal/storeclient/watch.go
+++ b/internal/storeclient/watch.go
@@ -18,8 +18,8 @@
 // without a change, which still shows that the store is reachable.
 type Batch struct {
 	Position Position // after which the watch continues
-	// AsOf is when the call was sent: the batches up to this one contain every change that
-	// the store had accepted by then.
+	// AsOf is a time by which all changes that the store had accepted are in the batches up
+	// to this one: that of the call, or the end of its wait.
 	AsOf time.Time
 	// Reset means that Changes is the complete state as of Position or later: any
 	// object at or below Position that it does not list was removed.
@@ -132,10 +132,15 @@
 		return Batch{}, err
 	}
 	w.after, w.confirmed = Position{Epoch: epoch, Revision: out.Revision}, true
-	if rest := k.watchWait - time.Since(sentAt); len(out.Changes) == 0 && rest > 0 {
-		_ = sleep(ctx, min(rest, w.client.opts.MaxBackoff)) // the store cut the wait short
+	batch := Batch{Position: w.after, AsOf: sentAt, Changes: out.Changes}
+	switch rest := k.watchWait - time.Since(sentAt); {
+	case len(out.Changes) > 0:
+	case rest > 0: // the store cut the wait short
+		_ = sleep(ctx, min(rest, w.client.opts.MaxBackoff))
+	default:
+		batch.AsOf = sentAt.Add(k.watchWait)
 	}
-	return Batch{Position: w.after, AsOf: sentAt, Changes: out.Changes}, nil
+	return batch, nil
 }
 
 func (w *watch) list(ctx context.Context) (Batch, error) {
