confsync: a relay lists the decision files again a second after a failed listing

It learns of the store's return, and starts its watch, only at that moment, and the whole data centre learns of changes from its relays.

Change: relays repeat a failed listing after a second.

--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -26,6 +26,9 @@
 	// doubles up to listTimeoutMax while the store does not answer.
 	listTimeout    = 5 * time.Second
 	listTimeoutMax = 30 * time.Second
+	// relayListDelay is the delay of a relay after a listing failed. There are few relays,
+	// and the other balancers of the data centre learn of changes from them.
+	relayListDelay = time.Second
 	// listMaxAge is the age up to which a watch may start at the version of a listing.
 	// An older listing is requested again.
 	listMaxAge = time.Minute
@@ -80,6 +83,7 @@
 	listRequestedAt time.Time     // time of the last request for a listing
 	listPending     bool          // the last request is not answered
 	listRetryDelay  time.Duration // until the request is repeated
+	listFailedAt    time.Time     // when the last request failed, zero if it did not
 	watching        bool
 
 	oversizeCount int
@@ -154,7 +158,7 @@
 	case Pushed:
 		s.apply(ordered(e.Epoch, []message.File{e.File}), 0, true, true)
 	case StoreLost:
-		s.storeLost, s.watching = true, false
+		s.storeLost, s.watching, s.listFailedAt = true, false, s.now
 	case StoreBack:
 		s.storeLost = false
 		if s.peers.IsRelay() || !s.listReceived {
@@ -172,7 +176,7 @@
 }
 
 func (s *Sync) requestList() {
-	s.listPending, s.listRequestedAt = true, s.now
+	s.listPending, s.listRequestedAt, s.listFailedAt = true, s.now, time.Time{}
 	s.out = append(s.out, List{})
 }
 
@@ -262,7 +266,11 @@
 func (s *Sync) tick() {
 	s.files.Advance(s.now)
 	unanswered := s.listPending || (s.storeLost && (!s.listReceived || s.peers.IsRelay()))
-	if unanswered && s.now.Sub(s.listRequestedAt) >= s.listRetryDelay {
+	switch {
+	case !unanswered:
+	case s.peers.IsRelay() && !s.listFailedAt.IsZero() && s.now.Sub(s.listFailedAt) >= relayListDelay:
+		s.requestList()
+	case s.now.Sub(s.listRequestedAt) >= s.listRetryDelay:
 		s.listRetryDelay = min(2*s.listRetryDelay, listTimeoutMax)
 		s.requestList()
 	}
