passnode, storeclient: listings and decision files have a known and bounded age

Change: the client remembers when it saw the store at which position, from watches and fresh listings, so that the position of an outdated listing tells its age without a further call. A reader replaces a listing of more than 3 s, or of unknown age, by a fresh one. Failed listings of decision files are repeated after a second. Hellos pass on the age of the decision files, and a balancer that is no reader lists them itself after 9 s without a confirmation, at the rate that holds for the configuration. Waits of watches vary by 0.6 s, because a change ends them all at once and their answers would stay together. New lines decisions_stale and decisions_current, gauge passnode_decisions_age_ms, counter passnode_listings.

--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -71,14 +71,16 @@
 	unreadyReason atomic.Pointer[string] // why the balancer is not ready, empty if it is
 	config        atomic.Pointer[sharedConfig]
 	// decisions holds the decision files in effect, nil before the first listing.
-	decisions       atomic.Pointer[sharedDecisions]
-	decisionsListed chan struct{}       // closed after the first attempt to list the decision files
-	fetchRequests   chan netip.AddrPort // balancers to fetch the configuration from
-	listRequests    chan struct{}       // signals that a fresh listing of the agents is needed
-	removeRequests  chan removal        // agents whose objects are to be removed
-	reader          *readerRole
-	confirmRequests chan struct{} // signals that the configuration is to be confirmed
-	configAge       atomic.Int64  // of the configuration in effect, in milliseconds
+	decisions        atomic.Pointer[sharedDecisions]
+	decisionRequests chan struct{}       // signals that the decision files are to be listed
+	decisionsListed  chan struct{}       // closed after the first attempt to list the decision files
+	fetchRequests    chan netip.AddrPort // balancers to fetch the configuration from
+	listRequests     chan struct{}       // signals that a fresh listing of the agents is needed
+	removeRequests   chan removal        // agents whose objects are to be removed
+	reader           *readerRole
+	confirmRequests  chan struct{} // signals that the configuration is to be confirmed
+	configAge        atomic.Int64  // of the configuration in effect, in milliseconds
+	decisionsAge     atomic.Int64  // of the decision files in effect, in milliseconds
 	// listed holds the agents' objects in the listing that the core knows. Only the loop
 	// uses it.
 	listed map[netip.AddrPort]listedAgent
@@ -86,7 +88,7 @@
 
 // NewBalancer returns a balancer with its sockets bound.
 func NewBalancer(opts BalancerOptions) (*Balancer, error) {
-	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1)}
+	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1), decisionRequests: make(chan struct{}, 1)}
 	b.loop = newLoop(opts.Metrics, b.logWriter)
 	b.loop.handleDatagram, b.loop.tick, b.loop.next = b.handleDatagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -94,7 +96,7 @@
 	b.core.AddSeeds(now, opts.Core.Seeds)
 	starting := "starting"
 	b.unreadyReason.Store(&starting)
-	err := opts.Metrics.Gauge(GaugeConfigAge, b.configAge.Load)
+	err := errors.Join(opts.Metrics.Gauge(GaugeConfigAge, b.configAge.Load), opts.Metrics.Gauge(GaugeDecisionsAge, b.decisionsAge.Load))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -166,6 +168,7 @@
 func (b *Balancer) tick(now time.Time) {
 	b.execute(now, b.core.Tick(now))
 	b.configAge.Store(b.core.ConfigAge(now).Milliseconds())
+	b.decisionsAge.Store(b.core.DecisionsAge(now).Milliseconds())
 	b.publishReadiness(now)
 	if reads := b.core.ReadsStore(now); b.reader.set(reads) {
 		b.logWriter.enqueue(now, "store_reader", "reader", reads, "peers", b.core.Peers())
@@ -230,6 +233,11 @@
 			case b.confirmRequests <- struct{}{}:
 			default: // a read is already due
 			}
+		case steer.ListDecisions:
+			select {
+			case b.decisionRequests <- struct{}{}:
+			default: // a listing is already due
+			}
 		case steer.ListAgents:
 			select {
 			case b.listRequests <- struct{}{}:
@@ -381,8 +389,12 @@
 	})
 }
 
-// GaugeConfigAge is the age of the configuration in effect in milliseconds.
-const GaugeConfigAge = "passnode_configuration_age_ms"
+// GaugeConfigAge and GaugeDecisionsAge are the ages of the configuration and of the decision
+// files in effect, in milliseconds.
+const (
+	GaugeConfigAge    = "passnode_configuration_age_ms"
+	GaugeDecisionsAge = "passnode_decisions_age_ms"
+)
 
 // CounterConfig counts configurations put into effect by source, and failures by reason.
 const CounterConfig = "passnode_configurations"
--- a/internal/passnode/decisions.go
+++ b/internal/passnode/decisions.go
@@ -19,6 +19,9 @@
 	// edit the files, so it is enough that a change is in effect within 10 s, including the
 	// age of a stale listing. A stale listing costs a tenth of a fresh one.
 	decisionListInterval = 5 * time.Second
+	// decisionRetryInterval is the interval after a failed listing, which has been tried
+	// several times.
+	decisionRetryInterval = time.Second
 	// restoreRetryInterval is the interval of attempts to write files that a restored store
 	// has lost.
 	restoreRetryInterval = 500 * time.Millisecond
@@ -70,13 +73,13 @@
 	return f
 }
 
-// watchDecisions lists the decision files in the store at the start, then repeatedly
-// while the balancer is a reader, and applies changes.
+// watchDecisions lists the decision files in the store at the start, then repeatedly while
+// the balancer is a reader and whenever the core requests it, and applies changes.
 func (b *Balancer) watchDecisions(ctx context.Context) error {
-	list, first := b.opts.Store.List, true
+	first, current, requested := true, false, false // current: the last listing succeeded
 	for ctx.Err() == nil {
 		_, epochChanged := b.opts.Store.Epoch()
-		l, err := list(ctx, config.StorePrefix)
+		l, err := b.list(ctx, config.StorePrefix, !current || requested)
 		if err == nil {
 			if first {
 				b.awaitPeerDecisions(ctx, l.Position.Epoch)
@@ -87,11 +90,12 @@
 		switch {
 		case err == nil:
 			b.applyListedDecisions(ctx, l)
-			list = b.opts.Store.ListStale
+			current = true
 		case errors.Is(err, errRestoreLater):
 			pause = restoreRetryInterval
 		default:
 			b.opts.Metrics.Count(CounterDecisions, "list_failed", 1)
+			pause, current = decisionRetryInterval, false
 			if known := b.decisions.Load(); known != nil && l.Position.Epoch > known.Epoch {
 				pause = restoreRetryInterval
 			}
@@ -100,17 +104,49 @@
 			close(b.decisionsListed)
 			first = false
 		}
+		requested = b.awaitDecisionsDue(ctx, epochChanged, pause)
+	}
+	return nil
+}
+
+// awaitDecisionsDue waits until the decision files are to be listed again, and reports
+// whether the core has requested it.
+func (b *Balancer) awaitDecisionsDue(ctx context.Context, epochChanged <-chan struct{}, pause time.Duration) (requested bool) {
+	select {
+	case <-ctx.Done():
+	case <-epochChanged:
+	case <-time.After(pause):
+	case <-b.decisionRequests:
+		return true
+	}
+	for reader, changed := b.reader.get(); !reader && ctx.Err() == nil; reader, changed = b.reader.get() {
 		select {
 		case <-ctx.Done():
-		case <-epochChanged:
-		case <-time.After(pause):
+		case <-changed:
+		case <-b.decisionRequests:
+			return true
 		}
-		_, stop := b.reader.whileReader(ctx)
-		stop()
 	}
-	return nil
+	return false
 }
 
+// list returns a listing, which may be outdated by steer.MaxListingAge unless fresh is
+// set. One whose age is not known is read again by readers only, because the cost of the
+// others grows with the fleet.
+func (b *Balancer) list(ctx context.Context, prefix string, fresh bool) (storeclient.Listing, error) {
+	if !fresh {
+		l, err := b.opts.Store.ListStale(ctx, prefix)
+		if err != nil || time.Since(l.AsOf) <= steer.MaxListingAge || !b.reader.is() {
+			return l, err
+		}
+		b.opts.Metrics.Count(CounterListings, "too_old", 1)
+	}
+	return b.opts.Store.List(ctx, prefix)
+}
+
+// CounterListings counts listings that were read again because they were too old.
+const CounterListings = "passnode_listings"
+
 // awaitPeerDecisions waits until the core has decision files of a peer, if it needs them
 // to find out what a restored store has lost.
 func (b *Balancer) awaitPeerDecisions(ctx context.Context, epoch uint64) {
@@ -181,6 +217,7 @@
 		next.Confirmed = known.Confirmed || known.Epoch < next.Epoch && known.Epoch != 0
 	}
 	b.applyDecisions(ctx, next, "store")
+	_ = b.loop.call(ctx, func(now time.Time) { b.execute(now, b.core.DecisionsCurrent(now, l.AsOf)) }) // fails only at shutdown
 }
 
 // applyDecisions puts decision files into effect if they are newer than the current
--- a/internal/passnode/objects.go
+++ b/internal/passnode/objects.go
@@ -68,11 +68,7 @@
 // readAgents returns the listed agents and their objects. The listing may be stale
 // unless fresh is set.
 func (b *Balancer) readAgents(ctx context.Context, fresh bool) (steer.AgentListing, map[netip.AddrPort]listedAgent, error) {
-	list := b.opts.Store.ListStale
-	if fresh {
-		list = b.opts.Store.List
-	}
-	l, err := list(ctx, agentsPrefix)
+	l, err := b.list(ctx, agentsPrefix, fresh)
 	if err != nil {
 		return steer.AgentListing{}, nil, err
 	}
--- a/internal/steer/decisions.go
+++ b/internal/steer/decisions.go
@@ -42,6 +42,7 @@
 }
 
 func (c *Core) setDecisions(now time.Time, d Decisions) {
+	c.decisionsAge.learn(now)
 	switch {
 	case !d.newerThan(c.decisions):
 	case d.Digest == c.decisions.Digest:
@@ -71,6 +72,7 @@
 	}
 	c.actions = c.actions[:0]
 	c.setDecisions(now, d)
+	c.adoptPeerAges(now)
 	return c.actions
 }
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -150,6 +150,8 @@
 	FetchConfig
 	// ConfirmConfig reads the configuration from the store and then calls ConfigConfirmed.
 	ConfirmConfig
+	// ListDecisions lists the decision files in the store.
+	ListDecisions
 	// Log writes Entry to the log.
 	Log
 	// Count increments Counter.
@@ -288,7 +290,8 @@
 	actions             []Action
 	candidates          []candidate
 	lastConfigFetch     time.Time // when FetchConfig was last issued
-	configAge           configAge
+	configAge           viewAge
+	decisionsAge        viewAge
 	unconfirmedSince    time.Time // end of a pause after which the configuration is not confirmed yet
 	storeFailing        bool      // the last call to the store failed
 	store               storeHistory
@@ -337,7 +340,7 @@
 		return c.actions
 	}
 	c.replaceConfig(now, next, advertise)
-	c.adoptPeerConfigAge(now)
+	c.adoptPeerAges(now)
 	return c.actions
 }
 
@@ -347,9 +350,7 @@
 	next := c.decisions.apply(base)
 	c.log(Entry{Event: "configuration", Version: next.Version, Detail: next.routeCount()})
 	c.saveFormerShares(next)
-	if c.base == nil {
-		c.configAge.learnedAt = now
-	}
+	c.configAge.learn(now)
 	c.base, c.config = base, next
 	c.unconfirmedSince = time.Time{}
 	c.replayPreConfig(now)
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -99,19 +99,21 @@
 
 // peer is another balancer.
 type peer struct {
-	addr         netip.AddrPort
-	lastHello    time.Time // zero if none was received
-	knownSince   time.Time // when its address became known
-	incarnation  model.Incarnation
-	config       configStamp
-	configAsOf   time.Time // its configuration is complete as of this time, zero if not known
-	decisions    Decisions // revision and digest of its decision files
-	wantsAgents  bool
-	seed         bool
-	dataCentre   model.DataCentre
-	unresponsive bool             // did not answer a query; reset by its next hello or answer
-	noStore      bool             // cannot read the store for others
-	lost         []netip.AddrPort // agents that it reports as lost
+	addr        netip.AddrPort
+	lastHello   time.Time // zero if none was received
+	knownSince  time.Time // when its address became known
+	incarnation model.Incarnation
+	config      configStamp
+	// configAsOf and decisionsAsOf are the times as of which its views are complete, zero
+	// if not known.
+	configAsOf, decisionsAsOf time.Time
+	decisions                 Decisions // revision and digest of its decision files
+	wantsAgents               bool
+	seed                      bool
+	dataCentre                model.DataCentre
+	unresponsive              bool             // did not answer a query; reset by its next hello or answer
+	noStore                   bool             // cannot read the store for others
+	lost                      []netip.AddrPort // agents that it reports as lost
 }
 
 // hasNewerDecisions reports whether a balancer has other and later decision files than d.
@@ -294,7 +296,8 @@
 	isNew := p.lastHello.IsZero() || p.incarnation != h.Incarnation
 	if isNew {
 		c.log(Entry{Event: "balancer", Target: from, Reason: "heard", Version: h.ConfigVersion})
-		p.config, p.decisions, p.configAsOf = configStamp{}, Decisions{}, time.Time{}
+		p.config, p.configAsOf = configStamp{}, time.Time{}
+		p.decisions, p.decisionsAsOf = Decisions{}, time.Time{}
 	}
 	c.setStoreEpoch(now, h.Epoch, time.Duration(h.EpochAgeMillis)*time.Millisecond, "hello")
 	p.lastHello, p.incarnation, p.wantsAgents = now, h.Incarnation, h.WantAgents
@@ -302,12 +305,15 @@
 	if next.newerThan(p.config) {
 		p.config, p.configAsOf = next, time.Time{}
 	}
-	if asOf := now.Add(-time.Duration(h.ConfigAgeMillis) * time.Millisecond); h.ConfigAgeMillis > 0 && next == p.config && asOf.After(p.configAsOf) {
+	if asOf := asOfHello(now, h.ConfigAgeMillis); next == p.config && asOf.After(p.configAsOf) {
 		p.configAsOf = asOf
 	}
 	epoch := cmp.Or(h.DecisionsEpoch, c.decisions.Epoch) // a peer of an earlier release sends the revision only
 	if next := (Decisions{Epoch: epoch, Revision: h.Decisions, Digest: h.DecisionDigest}); h.Decisions > 0 && next.newerThan(p.decisions) {
-		p.decisions = next
+		p.decisions, p.decisionsAsOf = next, time.Time{}
+	}
+	if asOf := asOfHello(now, h.DecisionsAgeMillis); h.Decisions == p.decisions.Revision && asOf.After(p.decisionsAsOf) {
+		p.decisionsAsOf = asOf
 	}
 	p.lost, p.dataCentre, p.unresponsive, p.noStore = h.Lost, h.DataCentre, false, h.NoStore
 	for _, a := range h.Agents {
@@ -320,7 +326,7 @@
 	if !h.Reply && (isNew || h.WantAgents) {
 		c.send(from, c.peerHelloMessage(now, p, true))
 	}
-	c.adoptPeerConfigAge(now)
+	c.adoptPeerAges(now)
 	c.fetchNewerConfig(now)
 }
 
@@ -353,7 +359,7 @@
 	m := c.helloMessage(now, reply)
 	m.Hello.DataCentre = c.options.DataCentre
 	m.Hello.WantAgents = now.Sub(c.started) < startupPeriod
-	m.Hello.ConfigAgeMillis = c.configAgeMillis(now)
+	m.Hello.ConfigAgeMillis, m.Hello.DecisionsAgeMillis = c.configAge.millis(now), c.decisionsAge.millis(now)
 	m.Hello.NoStore = c.leaving || c.storeFailing
 	for _, t := range c.targets {
 		if t.lost(now) && len(m.Hello.Lost) < steerwire.MaxPeers {
--- a/internal/steer/ticks.go
+++ b/internal/steer/ticks.go
@@ -27,7 +27,7 @@
 		c.lastLossCheck = now
 		c.expireSilent(now)
 		c.fetchNewerConfig(now)
-		c.confirmStaleConfig(now)
+		c.confirmStaleViews(now)
 	}
 	if now.Sub(c.lastAgentHello) >= c.agentHelloInterval() {
 		c.lastAgentHello = now
--- a/internal/steer/configage_test.go
+++ b/internal/steer/viewage_test.go
@@ -94,3 +94,40 @@
 		is.True(float64(n)/c.confirmInterval().Seconds() <= maxConfirmsPerSecond)
 	}
 }
+
+func TestDecisionsAgeIsPassedOnByHellos(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA)
+	hello := func(now int, revision, digest uint64, age int64) []Action {
+		h := steerwire.Hello{Node: "b9", Incarnation: 1, DataCentre: "dc-1", Decisions: revision, DecisionDigest: digest, DecisionsAgeMillis: age}
+		return c.Message(ms(now), peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: h}, segment.Segment{})
+	}
+	hello(100, 0, 0, 5) // a balancer that knows no files
+	is.Equal(c.DecisionsAge(ms(100)), time.Duration(0))
+	c.SetDecisions(ms(200), Decisions{Revision: 5, Digest: 77})
+	c.DecisionsCurrent(ms(200), ms(150))
+	is.Equal(c.DecisionsAge(ms(200)), 50*time.Millisecond)
+	runTicks(c, 250, 1000)
+	hello(1000, 9, 77, 20) // the same files, listed later
+	is.Equal(c.DecisionsAge(ms(1000)), 20*time.Millisecond)
+	hello(1010, 11, 78, 1) // others, which are not in effect here
+	is.Equal(c.DecisionsAge(ms(1010)), 30*time.Millisecond)
+}
+
+func TestFaultNobodyListsTheDecisions(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA)
+	c.storeFailing = true
+	c.SetDecisions(start, Decisions{Revision: 5, Digest: 77})
+	c.DecisionsCurrent(start, start)
+	lists := 0
+	for now := 0; now <= 14_000; now += 250 {
+		for i := range byte(3) {
+			helloWithConfig(c, now, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, i}), 7000), 1, 1)
+		}
+		if hasAction(c.Tick(ms(now)), ListDecisions) {
+			lists++
+		}
+	}
+	is.True(lists >= 2 && lists <= 6)
+}
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -371,6 +371,7 @@
 					}
 				})
 			})
+		case steer.ListDecisions: // there are no decision files
 		case steer.Log:
 			if a.Entry.Event == "probed" {
 				for _, x := range s.agents {
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -213,6 +213,8 @@
 	// ConfigAgeMillis is the time since the configuration in effect was known to be the last
 	// one in the store, rounded up; 0 if it is not known. Sent to balancers.
 	ConfigAgeMillis int64 `cbor:"18,keyasint,omitzero"`
+	// DecisionsAgeMillis is the same for the decision files.
+	DecisionsAgeMillis int64 `cbor:"19,keyasint,omitzero"`
 	// ID increases with each hello of the sending process to an agent. The first one is
 	// random, so that the IDs of successive processes differ.
 	ID uint64 `cbor:"17,keyasint,omitzero"`
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -56,18 +56,19 @@
 // Options configure a client. Zero values select the defaults.
 type Options struct {
 	URL            string        // http://IP:port of the store
-	AttemptTimeout time.Duration // of each attempt of a call
+	AttemptTimeout time.Duration // of a write, and the maximum of ReadTimeout
 	// ReadTimeout is the timeout of the first attempt of a read, and of a watch call beyond
-	// its wait. Further attempts have twice the time, in case that the store is slow. It is
-	// at most AttemptTimeout.
-	ReadTimeout   time.Duration
-	ReadAttempts  int           // attempts of a read, including the first
-	Backoff       time.Duration // before the first retry; doubles with each retry
-	MaxBackoff    time.Duration
-	WatchWait     time.Duration // maximum wait of a watch call
-	MaxWriteDelay time.Duration // after which a lost write no longer takes effect
-	Seed          uint64        // seed of the backoff jitter
-	Counter       Counter       // may be nil
+	// its wait. Further attempts have twice the time, in case the store is slow.
+	ReadTimeout  time.Duration
+	ReadAttempts int           // attempts of a read, including the first
+	Backoff      time.Duration // before the first retry; doubles with each retry
+	MaxBackoff   time.Duration
+	// WatchWait is the maximum wait of a watch call. It is shortened by a random time up to
+	// WatchJitter, so that the watches of several clients do not all end at the same time.
+	WatchWait, WatchJitter time.Duration
+	MaxWriteDelay          time.Duration // after which a lost write no longer takes effect
+	Seed                   uint64        // seed of the backoff jitter
+	Counter                Counter       // may be nil
 	// Transport sends the requests; nil opens a new connection for each call. An
 	// adapter for a store with another API translates requests here.
 	Transport http.RoundTripper
@@ -79,6 +80,8 @@
 	base      *url.URL
 	transport http.RoundTripper
 
+	positions positions
+
 	mu           sync.Mutex
 	rand         *rand.Rand
 	epoch        uint64        // highest epoch of a response, 0 for none
@@ -299,9 +302,13 @@
 	if n < 20 {
 		d = min(d, c.opts.Backoff<<(n-1))
 	}
+	return d/2 + c.randomUpTo(d/2)
+}
+
+func (c *Client) randomUpTo(d time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return d/2 + time.Duration(c.rand.Int64N(int64(d/2)+1))
+	return time.Duration(c.rand.Int64N(int64(d) + 1))
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
@@ -330,7 +337,10 @@
 // one epoch.
 type Listing struct {
 	Position Position
-	Objects  []Object // in byte order of paths
+	// AsOf is a time by which all changes that the store had accepted are in the listing.
+	// It is zero if that is not known of a listing that may be outdated.
+	AsOf    time.Time
+	Objects []Object // in byte order of paths
 }
 
 // Position is a point in the history of the store.
@@ -348,7 +358,7 @@
 
 func (c *Client) list(ctx context.Context, q url.Values) (Listing, error) {
 	var out Listing
-	after := ""
+	after, sentAt := "", time.Now()
 	for first := true; ; first = false {
 		var page storeapi.Page
 		q.Set("after", after)
@@ -363,6 +373,11 @@
 		}
 		out.Objects = append(out.Objects, page.Objects...)
 		if !page.More {
+			if out.AsOf = sentAt; q.Has("stale") {
+				out.AsOf = c.positions.asOf(out.Position)
+			} else {
+				c.positions.record(out.Position, sentAt)
+			}
 			return out, nil
 		}
 		if len(page.Objects) == 0 {
--- a/internal/storeclient/watch.go
+++ b/internal/storeclient/watch.go
@@ -100,7 +100,10 @@
 		return w.list(ctx)
 	}
 	k := call{method: http.MethodGet, path: storeapi.WatchPath, timeout: w.client.readTimeout(w.failures + 1)}
-	if w.confirmed || epoch == 0 && w.failures == 0 {
+	switch {
+	case w.confirmed:
+		k.watchWait = w.client.opts.WatchWait - w.client.randomUpTo(w.client.opts.WatchJitter)
+	case epoch == 0 && w.failures == 0:
 		k.watchWait = w.client.opts.WatchWait
 	}
 	w.confirmed = false
@@ -140,18 +143,18 @@
 	default:
 		batch.AsOf = sentAt.Add(k.watchWait)
 	}
+	w.client.positions.record(w.after, batch.AsOf)
 	return batch, nil
 }
 
 func (w *watch) list(ctx context.Context) (Batch, error) {
 	w.relist = true
-	sentAt := time.Now()
 	l, err := w.client.List(ctx, w.prefix)
 	if err != nil {
 		return Batch{}, err
 	}
 	w.after, w.relist, w.confirmed = l.Position, false, true
-	b := Batch{Position: l.Position, AsOf: sentAt, Reset: true}
+	b := Batch{Position: l.Position, AsOf: l.AsOf, Reset: true}
 	for _, o := range l.Objects {
 		b.Changes = append(b.Changes, Change{Object: o})
 	}
