node: the age of the watch of the decision files is a metric

A balancer of the own mode that watches the store did not tell how old its decision files are: failed calls of the watch only counted. New gauge store_watch_age_ms, and one log line each when the watch begins to fail and when it answers again, with the age.

--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -114,7 +114,12 @@
 	b.core = balancer.New(balancer.Options{
 		Self: b.opt.Self, Seeds: opt.Seeds, Seed: opt.Seed, Router: opt.Router, Intervals: opt.Intervals,
 	})
-	b.store = storeSync{client: opt.Store, logger: opt.Logger, post: b.Post}
+	b.store.client, b.store.logger, b.store.post = opt.Store, opt.Logger, b.Post
+	if err := opt.Metrics.Gauge(gaugeWatchAge, func() int64 { return b.store.watchAge().Milliseconds() }); err != nil {
+		b.transport.close()
+		_ = b.fabricConn.Close()
+		return nil, trace.Wrap(err)
+	}
 	b.packets = ring.New[*buffer](packetRingSize, func() { opt.Metrics.Count("ring_dropped", "packet", 1) })
 	b.messages = ring.New[receivedMessage](messageRingSize, func() { opt.Metrics.Count("ring_dropped", "message", 1) })
 	return b, nil
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
@@ -25,6 +27,22 @@
 	post func(ctx context.Context, ev balancer.Event)
 
 	cancelWatch context.CancelFunc // used by the core's goroutine only
+	// watchedAsOf is a time by which all changes that the store had accepted were posted,
+	// nil while the balancer does not watch.
+	watchedAsOf atomic.Pointer[time.Time]
+}
+
+// gaugeWatchAge is the age of the decision files of a balancer that watches the store, in
+// milliseconds; 0 for the others, which learn of changes from those.
+const gaugeWatchAge = "store_watch_age_ms"
+
+// watchAge returns the time since the watch was last known to be complete, 0 without one.
+func (s *storeSync) watchAge() time.Duration {
+	asOf := s.watchedAsOf.Load()
+	if asOf == nil {
+		return 0
+	}
+	return time.Since(*asOf)
 }
 
 // startListing lists the decision files once, on its own goroutine because the
@@ -89,11 +107,25 @@
 		return
 	}
 	ctx, s.cancelWatch = context.WithCancel(ctx)
+	failing, now := false, time.Now()
+	s.watchedAsOf.Store(&now) // until the first answer, which follows at once
 	g.Go(func() error {
 		_ = s.client.Watch(ctx, DecisionFilesPrefix, from, func(b storeclient.Batch) error {
 			s.handleBatch(ctx, b)
+			if failing {
+				failing = false
+				s.logger.Info("store watch answered again", "age_ms", s.watchAge().Milliseconds())
+			}
+			if ctx.Err() == nil {
+				s.watchedAsOf.Store(&b.AsOf)
+			}
 			return nil
-		}, storeclient.OnWatchError(func(err error) { s.logger.Warn("store watch failed", "err", err) }))
+		}, storeclient.OnWatchError(func(err error) {
+			if !failing {
+				s.logger.Warn("store watch failed", "age_ms", s.watchAge().Milliseconds(), "err", err)
+			}
+			failing = true
+		}))
 		return nil
 	})
 }
@@ -116,6 +148,7 @@
 	if s.cancelWatch != nil {
 		s.cancelWatch()
 		s.cancelWatch = nil
+		s.watchedAsOf.Store(nil)
 	}
 }
 
