--- a/internal/docgen/capacity.go
+++ b/internal/docgen/capacity.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/storeclient"
 )
 
 // The planned size of a deployment (docs/design.md section 1.4) and the limits on the
@@ -130,7 +132,9 @@
 func storeFigures() []figure {
 	changes := changesPerDay / secondsPerDay
 	return []figure{
-		{"waiting watches", "18 data centres × 3 watchers, one call each 20 to 30 s", "watchers by rank", dataCentres * 3, "watches", 0},
+		{"waiting watches", "18 data centres × 3 watchers, one call each 1.2 s", "watchers by rank", dataCentres * 3, "watches", 0},
+		{"watch calls without a change", "18 data centres × 3 watchers, 1.2 s of wait (the mean on the platform)", "bounds the age of what a watcher knows", dataCentres * 3 / storeclient.DefaultWatchWait.Seconds(), "a second", 2000},
+		{"reads while nobody confirms a view", "4 a second for the configuration and for the decision files, in any fleet", "an interval that grows with the number of balancers", 8, "a second", 2000},
 		{"watch calls for changes", "0.1 changes a second × 3 calls × 18 data centres", "the rest gets deltas from peers", changes * slopeStoreCalls.value * dataCentres, "a second", 2000},
 		{"operators' writes", "8,600 a day", "conditional updates", changes, "a second", 300},
 		{"listings by restarted balancers", "8,600 restarts a day × 12,000 / 71,000 × 76 pages of 1,000 files", "one listing at start", restartsPerDay / secondsPerDay * balancers / (balancers + targets) * 76, "a second", 2000},
