--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -58,7 +58,8 @@
 	URL            string        // http://IP:port of the store
 	AttemptTimeout time.Duration // of a write, and the maximum of ReadTimeout
 	// ReadTimeout is the timeout of the first attempt of a read, and of a watch call beyond
-	// its wait. Further attempts have twice the time, in case the store is slow.
+	// its wait. In case the store is slow, repeated calls have twice the time, and reads from
+	// the third attempt on AttemptTimeout if that is longer.
 	ReadTimeout  time.Duration
 	ReadAttempts int           // attempts of a read, including the first
 	Backoff      time.Duration // before the first retry; doubles with each retry
@@ -278,10 +279,13 @@
 
 // readTimeout returns the timeout of an attempt of a read, counted from 1.
 func (c *Client) readTimeout(attempt int) time.Duration {
-	if attempt == 1 {
+	switch attempt {
+	case 1:
 		return c.opts.ReadTimeout
+	case 2:
+		return 2 * c.opts.ReadTimeout
 	}
-	return 2 * c.opts.ReadTimeout
+	return max(2*c.opts.ReadTimeout, c.opts.AttemptTimeout)
 }
 
 // sleepBeforeRetry waits before retry n for the backoff or the store's Retry-After,
--- a/internal/storeclient/silent_test.go
+++ b/internal/storeclient/silent_test.go
@@ -102,6 +102,9 @@
 	is.NoErr(err)
 	_, err = c.List(ctx, "d/")
 	is.NoErr(err)
+	s.SetFaults(store.Faults{SlowMillis: 700})
+	_, err = c.Get(ctx, "d/a")
+	is.NoErr(err)
 }
 
 func TestFaultEndlessWatchCalls(t *testing.T) {
--- a/internal/storeclient/watch.go
+++ b/internal/storeclient/watch.go
@@ -99,7 +99,7 @@
 	if w.after.Epoch != 0 && epoch > w.after.Epoch {
 		return w.list(ctx)
 	}
-	k := call{method: http.MethodGet, path: storeapi.WatchPath, timeout: w.client.readTimeout(w.failures + 1)}
+	k := call{method: http.MethodGet, path: storeapi.WatchPath, timeout: w.client.readTimeout(min(w.failures+1, 2))}
 	switch {
 	case w.confirmed:
 		k.watchWait = w.client.opts.WatchWait - w.client.randomUpTo(w.client.opts.WatchJitter)
