steer, storeclient: ages hold after a restoration of the store and on fast networks

Found on reading the change. After the store is restored, one version of the configuration has different revisions at different balancers: they were taken for different configurations, so that no age was adopted and balancers that are no readers would have read the store at the fleet's rate for ever. Configurations are compared by version now. Waits of watches are whole milliseconds, as the store is told: a rest of a fraction counted as a wait that was cut short, and the older of the two times as the age. TestFaultAgeAfterTheStoreIsRestored fails without the change.

--- a/internal/passnode/decisions.go
+++ b/internal/passnode/decisions.go
@@ -79,7 +79,7 @@
 	first, current, requested := true, false, false // current: the last listing succeeded
 	for ctx.Err() == nil {
 		_, epochChanged := b.opts.Store.Epoch()
-		l, err := b.list(ctx, config.StorePrefix, !current || requested)
+		l, err := b.listStore(ctx, config.StorePrefix, !current || requested)
 		if err == nil {
 			if first {
 				b.awaitPeerDecisions(ctx, l.Position.Epoch)
@@ -130,10 +130,10 @@
 	return false
 }
 
-// list returns a listing, which may be outdated by steer.MaxListingAge unless fresh is
+// listStore returns a listing, which may be outdated by steer.MaxListingAge unless fresh is
 // set. One whose age is not known is read again by readers only, because the cost of the
 // others grows with the fleet.
-func (b *Balancer) list(ctx context.Context, prefix string, fresh bool) (storeclient.Listing, error) {
+func (b *Balancer) listStore(ctx context.Context, prefix string, fresh bool) (storeclient.Listing, error) {
 	if !fresh {
 		l, err := b.opts.Store.ListStale(ctx, prefix)
 		if err != nil || time.Since(l.AsOf) <= steer.MaxListingAge || !b.reader.is() {
--- a/internal/passnode/objects.go
+++ b/internal/passnode/objects.go
@@ -68,7 +68,7 @@
 // readAgents returns the listed agents and their objects. The listing may be stale
 // unless fresh is set.
 func (b *Balancer) readAgents(ctx context.Context, fresh bool) (steer.AgentListing, map[netip.AddrPort]listedAgent, error) {
-	l, err := b.list(ctx, agentsPrefix, fresh)
+	l, err := b.listStore(ctx, agentsPrefix, fresh)
 	if err != nil {
 		return steer.AgentListing{}, nil, err
 	}
--- a/internal/passnode/viewage_test.go
+++ b/internal/passnode/viewage_test.go
@@ -67,7 +67,7 @@
 	b := runDecisionReader(ctx, t, url)
 	eventually(t, "the files are listed", func() bool { return decisionsAgeOf(ctx, b) > 0 })
 	calls := func(label string) uint64 { return b.opts.Metrics.Totals()[counterKey("store_calls", label)] }
-	l, err := b.list(ctx, "agents/", false)
+	l, err := b.listStore(ctx, "agents/", false)
 	is.NoErr(err)
 	is.True(time.Since(l.AsOf) < steer.MaxListingAge)
 	is.Equal(calls("list_agents"), uint64(0)) // the listing of the decision files tells its age
@@ -78,7 +78,7 @@
 	time.Sleep(50 * time.Millisecond)
 	b.reader.set(true)
 	b.opts.Store = client // it has seen nothing of the store
-	l, err = b.list(context.Background(), "agents/", false)
+	l, err = b.listStore(context.Background(), "agents/", false)
 	is.NoErr(err)
 	is.True(time.Since(l.AsOf) < steer.MaxListingAge)
 	is.Equal(calls("list_agents"), uint64(1))
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -134,6 +134,10 @@
 	return s.version > t.version
 }
 
+// sameAs reports whether two balancers have the same configuration. The revision of one
+// version differs after the store was restored.
+func (s configStamp) sameAs(t configStamp) bool { return !s.newerThan(t) && !t.newerThan(s) }
+
 // AgentListing holds the agents whose objects the store lists.
 type AgentListing struct {
 	Agents []netip.AddrPort
@@ -305,7 +309,7 @@
 	if next.newerThan(p.config) {
 		p.config, p.configAsOf = next, time.Time{}
 	}
-	if asOf := asOfHello(now, h.ConfigAgeMillis); next == p.config && asOf.After(p.configAsOf) {
+	if asOf := asOfHello(now, h.ConfigAgeMillis); next.sameAs(p.config) && asOf.After(p.configAsOf) {
 		p.configAsOf = asOf
 	}
 	epoch := cmp.Or(h.DecisionsEpoch, c.decisions.Epoch) // a peer of an earlier release sends the revision only
--- a/internal/steer/viewage.go
+++ b/internal/steer/viewage.go
@@ -108,7 +108,7 @@
 		return
 	}
 	for _, p := range c.peers {
-		if c.base != nil && p.config == (configStamp{c.base.Revision, c.base.Version}) {
+		if c.base != nil && p.config.sameAs(configStamp{c.base.Revision, c.base.Version}) {
 			c.confirmView(now, &c.configAge, p.configAsOf, configAgeLimit, "configuration_current")
 		}
 		if c.decisions.Revision > 0 && p.decisions.Revision > 0 && p.decisions.Epoch == c.decisions.Epoch && p.decisions.Digest == c.decisions.Digest {
--- a/internal/steer/viewage_test.go
+++ b/internal/steer/viewage_test.go
@@ -50,6 +50,16 @@
 	is.Equal(c.ConfigAge(ms(1200)), 101*time.Millisecond)
 }
 
+func TestFaultAgeAfterTheStoreIsRestored(t *testing.T) {
+	is := is.New(t)
+	c := newCore(agentA)
+	c.ConfigCurrent(start, start)
+	runTicks(c, 0, 1000)
+	h := steerwire.Hello{Node: "b9", Incarnation: 1, Revision: 77, ConfigVersion: 1, ConfigAgeMillis: 20} // written again
+	c.Message(ms(1000), peerP, steerwire.Message{Kind: steerwire.KindHello, Hello: h}, segment.Segment{})
+	is.Equal(c.ConfigAge(ms(1000)), 20*time.Millisecond)
+}
+
 func TestFaultHelloIsReadAfterAPause(t *testing.T) {
 	is := is.New(t)
 	c := newCore(agentA)
--- a/internal/storeclient/watch.go
+++ b/internal/storeclient/watch.go
@@ -102,7 +102,8 @@
 	k := call{method: http.MethodGet, path: storeapi.WatchPath, timeout: w.client.readTimeout(min(w.failures+1, 2))}
 	switch {
 	case w.confirmed:
-		k.watchWait = w.client.opts.WatchWait - w.client.randomUpTo(w.client.opts.WatchJitter)
+		// The store is told whole milliseconds.
+		k.watchWait = (w.client.opts.WatchWait - w.client.randomUpTo(w.client.opts.WatchJitter)).Truncate(time.Millisecond)
 	case epoch == 0 && w.failures == 0:
 		k.watchWait = w.client.opts.WatchWait
 	}
