steersim: the transfer and the confirmation of the configuration in a file of their own

No check changes: TestHistoryAgeOfTheConfigurationIsKnown, TestFaultAllReadersWaitInVain, TestFaultStoreIsAwayForALargeFleet and the tests of the readers pass.

--- a/internal/steer/viewage.go
+++ b/internal/steer/viewage.go
@@ -143,6 +143,7 @@
 		v.nextConfirm = now.Add(c.confirmInterval()/2 + c.randomUpTo(c.confirmInterval()))
 		return true
 	}
+	// The first read waits too, because a whole fleet may become stale at once.
 	v.nextConfirm = now.Add(c.randomUpTo(c.confirmInterval()))
 	return false
 }
--- a/internal/steersim/configage_test.go
+++ b/internal/steersim/configage_test.go
@@ -6,6 +6,36 @@
 	"time"
 )
 
+// confirmConfig plays a read of the configuration beside the watches.
+func (b *balancer) confirmConfig() {
+	s, core, asOf := b.s, b.core, b.s.clock(b.addr)
+	s.confirms++
+	if s.storeCut(b.addr) {
+		return
+	}
+	s.after(s.storeTime(), func() {
+		s.whenAwake(b.addr, func() {
+			if b.core == core {
+				b.execute(core.SetConfig(s.clock(b.addr), s.config))
+				b.execute(core.ConfigCurrent(s.clock(b.addr), asOf))
+				b.execute(core.ConfigConfirmed(s.clock(b.addr)))
+			}
+		})
+	})
+}
+
+// fetchConfig plays the transfer of a configuration from another balancer.
+func (b *balancer) fetchConfig(from netip.AddrPort) {
+	s, core := b.s, b.core
+	s.after(3*linkDelay(b.addr, from), func() {
+		for _, p := range s.balancers {
+			if p.addr == from && p.core != nil && p.core.Config() != nil && b.core == core && !s.cut(from, b.addr) && !s.cut(b.addr, from) {
+				b.execute(core.SetPeerConfig(s.clock(b.addr), p.core.Config()))
+			}
+		}
+	})
+}
+
 // maxConfigAge returns the highest age of the configuration at the balancers that run.
 func (s *sim) maxConfigAge() time.Duration {
 	out := time.Duration(0)
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -287,18 +287,6 @@
 	s.after(storePoll, func() { s.whenAwake(b.addr, func() { b.watch(core) }) })
 }
 
-// fetchConfig plays the transfer of a configuration from another balancer.
-func (b *balancer) fetchConfig(from netip.AddrPort) {
-	s, core := b.s, b.core
-	s.after(3*linkDelay(b.addr, from), func() {
-		for _, p := range s.balancers {
-			if p.addr == from && p.core != nil && p.core.Config() != nil && b.core == core && !s.cut(from, b.addr) && !s.cut(b.addr, from) {
-				b.execute(core.SetPeerConfig(s.clock(b.addr), p.core.Config()))
-			}
-		}
-	})
-}
-
 // listed returns the agents that the store lists.
 func (s *sim) listed() []netip.AddrPort {
 	var out []netip.AddrPort
@@ -357,20 +345,7 @@
 		case steer.FetchConfig:
 			b.fetchConfig(a.To)
 		case steer.ConfirmConfig:
-			s.confirms++
-			if s.storeCut(b.addr) {
-				continue
-			}
-			core, asOf := b.core, s.clock(b.addr)
-			s.after(s.storeTime(), func() {
-				s.whenAwake(b.addr, func() {
-					if b.core == core {
-						b.execute(core.SetConfig(s.clock(b.addr), s.config))
-						b.execute(core.ConfigCurrent(s.clock(b.addr), asOf))
-						b.execute(core.ConfigConfirmed(s.clock(b.addr)))
-					}
-				})
-			})
+			b.confirmConfig()
 		case steer.ListDecisions: // there are no decision files
 		case steer.Log:
 			if a.Entry.Event == "probed" {
