--- /dev/null
+++ b/review/_standin/store.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// object is an object of the platform's store.
+type object struct {
+	Meta struct {
+		Name       string   `json:"name"`
+		Revision   uint64   `json:"revision"`
+		Created    uint64   `json:"created"`
+		Finalizers []string `json:"finalizers"`
+		Deleting   bool     `json:"deleting"`
+	} `json:"meta"`
+	Spec   json.RawMessage `json:"spec"`
+	Status json.RawMessage `json:"status"`
+}
+
+type event struct {
+	Object  object `json:"object"`
+	Deleted bool   `json:"deleted"`
+	kind    string
+}
+
+// store is a stand-in of the platform's metadata store. Each machine has an address of its
+// own for it, so that it can turn single machines away.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]object // by kind and name
+	events   []event
+	changed  chan struct{}
+	refuse   map[string]string // by listening address: "" serves, "silent", "busy"
+}
+
+func newStore() *store {
+	return &store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{}), refuse: map[string]string{}}
+}
+
+// listen serves the store at an address.
+func (s *store) listen(addr string) error {
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	go func() {
+		_ = http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, addr) }))
+	}()
+	return nil
+}
+
+// setMode sets how the store treats the calls at an address.
+func (s *store) setMode(addr, mode string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse[addr] = mode
+}
+
+func (s *store) mode(addr string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refuse[addr]
+}
+
+func (s *store) serve(w http.ResponseWriter, r *http.Request, addr string) {
+	switch s.mode(addr) {
+	case "silent":
+		<-r.Context().Done()
+		return
+	case "busy":
+		http.Error(w, "{}", http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(4 * time.Millisecond)
+	path, ok := strings.CutPrefix(r.URL.Path, "/bulrushshelf/objects/")
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	kind, name, _ := strings.Cut(path, "/")
+	w.Header().Set("Content-Type", "application/json")
+	switch {
+	case r.Method == http.MethodGet && name != "":
+		s.get(w, kind, name)
+	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
+		s.watch(w, r, kind)
+	case r.Method == http.MethodGet:
+		s.list(w, r, kind)
+	default:
+		s.write(w, r, kind, name)
+	}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *store) get(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	o, ok := s.objects[kind][name]
+	s.mu.Unlock()
+	if !ok {
+		reply(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	reply(w, http.StatusOK, o)
+}
+
+func (s *store) list(w http.ResponseWriter, r *http.Request, kind string) {
+	after := r.URL.Query().Get("after")
+	s.mu.Lock()
+	names := make([]string, 0, len(s.objects[kind]))
+	for n := range s.objects[kind] {
+		if n > after {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > 500
+	if more {
+		names = names[:500]
+	}
+	items := make([]object, 0, len(names))
+	for _, n := range names {
+		items = append(items, s.objects[kind][n])
+	}
+	revision := s.revision
+	s.mu.Unlock()
+	reply(w, http.StatusOK, map[string]any{"items": items, "has-more": more, "store-revision": revision})
+}
+
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		out := []event{}
+		for _, e := range s.events {
+			if e.kind == kind && e.Object.Meta.Revision > from {
+				out = append(out, e)
+			}
+		}
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(out) > 0 {
+			reply(w, http.StatusOK, map[string]any{"events": out, "store-revision": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timeout:
+			reply(w, http.StatusOK, map[string]any{"events": out, "store-revision": revision})
+			return
+		}
+	}
+}
+
+func (s *store) write(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var in object
+	_ = json.NewDecoder(r.Body).Decode(&in)
+	if in.Meta.Name != "" && name == "" {
+		name = in.Meta.Name
+	}
+	want := in.Meta.Revision
+	if q := r.URL.Query().Get("revision"); q != "" {
+		want, _ = strconv.ParseUint(q, 10, 64)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, exists := s.objects[kind][name]
+	switch {
+	case r.Method == http.MethodPost && exists, r.Method != http.MethodPost && exists && want != 0 && want != old.Meta.Revision:
+		reply(w, http.StatusConflict, old)
+		return
+	case r.Method != http.MethodPost && !exists:
+		reply(w, http.StatusNotFound, struct{}{})
+		return
+	case r.Method == http.MethodPut && string(old.Spec) == string(in.Spec):
+		reply(w, http.StatusOK, old)
+		return
+	}
+	reply(w, http.StatusOK, s.apply(kind, name, in.Spec, r.Method == http.MethodDelete))
+}
+
+// apply stores or removes an object. The caller holds s.mu.
+func (s *store) apply(kind, name string, spec json.RawMessage, remove bool) object {
+	s.revision++
+	o := s.objects[kind][name]
+	if o.Meta.Created == 0 {
+		o.Meta.Created = s.revision
+	}
+	o.Meta.Name, o.Meta.Revision, o.Meta.Finalizers = name, s.revision, []string{}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]object{}
+	}
+	if remove {
+		delete(s.objects[kind], name)
+	} else {
+		o.Spec, o.Status = spec, json.RawMessage("null")
+		s.objects[kind][name] = o
+	}
+	s.events = append(s.events, event{Object: o, Deleted: remove, kind: kind})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return o
+}
+
+// put is a write of the operator.
+func (s *store) put(kind, name string, spec any) {
+	b, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(kind, name, b, false)
+}
