review: a watch response above 4 MiB stops the configuration everywhere

Case 1, a script: connections to the store go silent once, during a storm of 25 desired states of 0.5 MB. The next watch response exceeds the limit of the client, which repeats the call for ever. All balancers serve an old desired state until the store drops its history.

--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -137,18 +137,28 @@
 	ack      uint32
 	requests int
 	reset    bool
+	to       netip.AddrPort // address of the platform
+	via      netip.AddrPort // balancer for a flow that is sent directly to one, else invalid
 }
 
 func (f *flow) send(p packet) {
-	p.src, p.dst = f.at, f.c.service
-	_, _ = f.c.conn.WriteToUDPAddrPort(p.encode(), f.c.router.route(f.at))
+	p.src, p.dst = f.at, f.to
+	via := f.via
+	if !via.IsValid() {
+		via = f.c.router.route(f.at)
+	}
+	_, _ = f.c.conn.WriteToUDPAddrPort(p.encode(), via)
 }
 
 // open opens a flow: an opening packet with copies after 200 and 600 ms, given up after 1.4 s.
-func (c *client) open() *flow {
+func (c *client) open() *flow { return c.openAt(c.service, netip.AddrPort{}) }
+
+// openAt opens a flow to an address of the platform, directly through one balancer if via is
+// valid. It returns nil if the flow did not open.
+func (c *client) openAt(to, via netip.AddrPort) *flow {
 	c.mu.Lock()
 	c.port++
-	f := &flow{c: c, at: netip.AddrPortFrom(c.addr, c.port), in: make(chan packet, 64), seq: rand.Uint32()}
+	f := &flow{c: c, at: netip.AddrPortFrom(c.addr, c.port), in: make(chan packet, 64), seq: rand.Uint32(), to: to, via: via}
 	c.flows[c.port] = f.in
 	c.mu.Unlock()
 	start, copies := time.Now(), []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -25,7 +25,7 @@
 	controlPort  = 28166
 	outboundPort = 28162
 	appPort      = 28165
-	firstPort    = 27720 // port-range
+	peerPort     = 27720 // port-range
 	lastPort     = 27735
 	storePort    = 28169
 )
@@ -115,15 +115,23 @@
 	return fmt.Sprintf("%s:%d", d.ip(9, 10*group+n), storePort)
 }
 
-// putConfig writes a desired state with one route in use and more routes without traffic.
-func (d *deployment) putConfig(version, more int) {
-	routes := []map[string]any{}
-	for i := 0; i <= more; i++ {
+// putConfig writes a desired state with the route in use, one on each of the ports, and idle
+// routes without traffic. The return of the call is the ack.
+func (d *deployment) putConfig(version, idle int, ports ...int) {
+	routes := make([]map[string]any, 0, 1+len(ports)+idle)
+	add := func(host string, port int) {
 		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("r-%d", i), "host": d.service.Addr().String(), "path-prefix": fmt.Sprintf("/%d/", int(d.service.Port())+i), "kind": "safe",
+			"name": fmt.Sprintf("r-%s-%d", host, port), "host": host, "path-prefix": fmt.Sprintf("/%d/", port), "kind": "safe",
 			"timeout-ms": 5000, "target-latency-ms": 500, "priority": 1, "service": "facturador", "attempts": 2,
 		})
 	}
+	add(d.service.Addr().String(), int(d.service.Port()))
+	for _, p := range ports {
+		add(d.service.Addr().String(), p)
+	}
+	for i := range idle {
+		add("127.0.114.1", 1000+i)
+	}
 	d.store.put("config", "main", map[string]any{
 		"version": version, "routes": routes, "limits": map[string]any{"idle-timeout-ms": 15000},
 		"services": []map[string]any{{"name": "facturador", "health-path": "/health", "max-conns": 2000, "protocol": "h1", "tls": false}},
@@ -145,7 +153,7 @@
 		"{{node-name|json}}", fmt.Sprintf("%q", name), "{{zone|json}}", `"stgo-a"`, "{{service|json}}", `"facturador"`,
 		"{{listen.datagram-addr|json}}", quote(datagramPort), "{{listen.outbound|json}}", quote(outboundPort), "{{app|json}}", quote(appPort),
 		"{{listen.control|json}}", quote(controlPort), "{{heartbeat-ms}}", "1200", "{{listen.ready-addr|json}}", quote(readyPort), "{{ip}}", ip,
-		"{{port-range.0}}", fmt.Sprint(firstPort), "{{port-range.1}}", fmt.Sprint(lastPort), `{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, strings.Join(seeds, ", "),
+		"{{port-range.0}}", fmt.Sprint(peerPort), "{{port-range.1}}", fmt.Sprint(lastPort), `{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, strings.Join(seeds, ", "),
 		"{{platform.address}}", store, "{{bounds.flow-ttl-s}}", "60", "{{bounds.grace-s}}", fmt.Sprint(graceSeconds),
 		"{{#limits.link-mbps}}", "", "{{limits.link-mbps}}", "1000.0", "{{/limits.link-mbps}}", "",
 	}
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -28,6 +28,7 @@
 	Object  object `json:"object"`
 	Deleted bool   `json:"deleted"`
 	kind    string
+	at      time.Time
 }
 
 // store is a stand-in of the platform's metadata store. Each machine has an address of its
@@ -39,8 +40,13 @@
 	events   []event
 	changed  chan struct{}
 	refuse   map[string]string // by listening address: "" serves, "silent", "busy"
+	dropped  uint64            // revision up to which the history is gone
+	silenced int               // number of times that open connections have gone silent
 }
 
+// history is history-s: how long the store keeps its events.
+const history = 20 * time.Second
+
 func newStore() *store {
 	return &store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{}), refuse: map[string]string{}}
 }
@@ -64,6 +70,13 @@
 	s.refuse[addr] = mode
 }
 
+// silence makes all open connections silent for good. New ones work.
+func (s *store) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silenced++
+}
+
 func (s *store) mode(addr string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,9 +154,23 @@
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
-	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	timeout, ended := time.After(time.Duration(wait)*time.Millisecond), false
+	s.mu.Lock()
+	silenced := s.silenced
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.silenced != silenced {
+			s.mu.Unlock()
+			<-r.Context().Done() // nothing comes on this connection any more
+			return
+		}
+		s.dropHistory()
+		if from < s.dropped {
+			s.mu.Unlock()
+			reply(w, http.StatusGone, struct{}{})
+			return
+		}
 		out := []event{}
 		for _, e := range s.events {
 			if e.kind == kind && e.Object.Meta.Revision > from {
@@ -152,7 +179,7 @@
 		}
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if len(out) > 0 {
+		if len(out) > 0 || ended {
 			reply(w, http.StatusOK, map[string]any{"events": out, "store-revision": revision})
 			return
 		}
@@ -161,12 +188,19 @@
 		case <-r.Context().Done():
 			return
 		case <-timeout:
-			reply(w, http.StatusOK, map[string]any{"events": out, "store-revision": revision})
-			return
+			ended = true
 		}
 	}
 }
 
+// dropHistory removes events that are too old. The caller holds s.mu.
+func (s *store) dropHistory() {
+	for len(s.events) > 0 && time.Since(s.events[0].at) > history {
+		s.dropped = s.events[0].Object.Meta.Revision
+		s.events = s.events[1:]
+	}
+}
+
 func (s *store) write(w http.ResponseWriter, r *http.Request, kind, name string) {
 	var in object
 	_ = json.NewDecoder(r.Body).Decode(&in)
@@ -211,7 +245,7 @@
 		o.Spec, o.Status = spec, json.RawMessage("null")
 		s.objects[kind][name] = o
 	}
-	s.events = append(s.events, event{Object: o, Deleted: remove, kind: kind})
+	s.events = append(s.events, event{Object: o, Deleted: remove, kind: kind, at: time.Now()})
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return o
