--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -136,6 +136,7 @@
 	seq      uint32
 	ack      uint32
 	requests int
+	born     uint32 // first sequence number, which tells flows of one port apart
 	reset    bool
 	to       netip.AddrPort // address of the platform
 	via      netip.AddrPort // balancer for a flow that is sent directly to one, else invalid
@@ -158,8 +159,17 @@
 func (c *client) openAt(to, via netip.AddrPort) *flow {
 	c.mu.Lock()
 	c.port++
-	f := &flow{c: c, at: netip.AddrPortFrom(c.addr, c.port), in: make(chan packet, 64), seq: rand.Uint32(), to: to, via: via}
-	c.flows[c.port] = f.in
+	port := c.port
+	c.mu.Unlock()
+	return c.openFrom(port, to, via)
+}
+
+// openFrom is openAt from a given port.
+func (c *client) openFrom(port uint16, to, via netip.AddrPort) *flow {
+	c.mu.Lock()
+	f := &flow{c: c, at: netip.AddrPortFrom(c.addr, port), in: make(chan packet, 64), seq: rand.Uint32(), to: to, via: via}
+	f.born = f.seq
+	c.flows[port] = f.in
 	c.mu.Unlock()
 	start, copies := time.Now(), []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
 	for i := range 3 {
@@ -186,9 +196,16 @@
 }
 
 // request sends a request on an open flow and waits for its answer within the budget.
-func (f *flow) request(budget time.Duration) string {
+func (f *flow) request(budget time.Duration) string { return f.exchange("", budget) }
+
+// requestLast is request, and the host closes the flow with the answer. So does the client.
+func (f *flow) requestLast(budget time.Duration) string { return f.exchange(lastRequest, budget) }
+
+// exchange sends a request with a prefix, repeats it until the answer comes, and returns how it
+// ended.
+func (f *flow) exchange(prefix string, budget time.Duration) string {
 	f.requests++
-	id := fmt.Sprintf("request %d of port %d", f.requests, f.at.Port())
+	id := prefix + fmt.Sprintf("request %d of port %d from %d", f.requests, f.at.Port(), f.born)
 	f.c.rec.sent(f.at, id)
 	data, pause, deadline := []byte(id), 200*time.Millisecond, time.After(budget)
 	for {
@@ -205,7 +222,12 @@
 				case len(p.data) > 0 && p.seq == f.ack:
 					f.ack += uint32(len(p.data))
 					f.seq += uint32(len(data))
-					f.send(packet{flags: flagACK, seq: f.seq, ack: f.ack})
+					if p.has(flagFIN) {
+						f.ack++
+						f.send(packet{flags: flagFIN | flagACK, seq: f.seq, ack: f.ack})
+					} else {
+						f.send(packet{flags: flagACK, seq: f.seq, ack: f.ack})
+					}
 					f.c.rec.answered(f.at, id, string(p.data))
 					return "answered"
 				case len(p.data) > 0: // a copy of an earlier answer
--- a/review/_standin/host.go
+++ b/review/_standin/host.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// lastRequest is the start of a request after which the host closes the flow.
+const lastRequest = "last "
+
 // hostFlow is a flow that a host holds.
 type hostFlow struct {
 	isn      uint32 // of the host
@@ -36,6 +39,7 @@
 	conn     *net.UDPConn
 	checks   net.Listener                 // of liveness checks, nil while they are refused
 	flows    map[netip.AddrPort]*hostFlow // by client and port; one address of the platform
+	closed   map[netip.AddrPort]bool      // flows that have ended
 	draining bool
 	ended    bool
 	born     int64
@@ -48,6 +52,7 @@
 	if h.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(h.addr)); err != nil {
 		return err
 	}
+	h.closed = map[netip.AddrPort]bool{}
 	h.flows, h.born = map[netip.AddrPort]*hostFlow{}, time.Now().UnixMilli()
 	if err := h.acceptChecks(); err != nil {
 		return err
@@ -156,6 +161,7 @@
 	f := h.flows[p.src]
 	switch {
 	case p.has(flagSYN):
+		delete(h.closed, p.src)
 		if f == nil {
 			f = &hostFlow{isn: rand.Uint32(), next: p.seq + 1, answered: map[uint32]bool{}}
 			f.sent = f.isn + 1
@@ -163,6 +169,9 @@
 		}
 		h.send(packet{flags: flagSYN | flagACK, seq: f.isn, ack: f.next, src: p.dst, dst: p.src})
 		return
+	case h.closed[p.src]:
+		h.answerEnded(p)
+		return
 	case f == nil || !f.open && p.ack != f.isn+1:
 		h.rec.stray(p.src, h.id)
 		h.bounce(raw)
@@ -176,6 +185,13 @@
 		h.rec.opened(p.src, h.id)
 	}
 	f.lastAck = p.ack
+	if p.has(flagFIN) {
+		delete(h.flows, p.src)
+		h.closed[p.src] = true
+		h.rec.ended(p.src, h.id)
+		h.send(packet{flags: flagACK, seq: f.sent, ack: p.seq + 1, src: p.dst, dst: p.src})
+		return
+	}
 	if len(p.data) > 0 && p.seq == f.next {
 		f.next += uint32(len(p.data))
 		h.rec.ran(p.src, h.id, string(p.data))
@@ -187,12 +203,28 @@
 	}
 }
 
+// answerEnded answers a packet of a flow that has ended: a FIN with an ACK, data with a reset.
+func (h *host) answerEnded(p packet) {
+	h.rec.stray(p.src, h.id)
+	switch {
+	case p.has(flagFIN):
+		h.send(packet{flags: flagACK, seq: p.ack, ack: p.seq + 1, src: p.dst, dst: p.src})
+	case len(p.data) > 0:
+		h.rec.hostReset(p.src, h.id)
+		h.send(packet{flags: flagRST | flagACK, seq: p.ack, ack: p.seq, src: p.dst, dst: p.src})
+	}
+}
+
 // answer answers a request and repeats the answer until the client acknowledges it.
 func (h *host) answer(p packet, f *hostFlow) {
 	time.Sleep(h.work)
 	h.mu.Lock()
 	out := packet{flags: flagACK, seq: f.sent, ack: f.next, src: p.dst, dst: p.src, data: append([]byte("answer to "), p.data...)}
 	f.sent += uint32(len(out.data))
+	if bytes.HasPrefix(p.data, []byte(lastRequest)) { // the host closes the flow after the answer
+		out.flags |= flagFIN
+		f.sent++
+	}
 	h.mu.Unlock()
 	pause := 200 * time.Millisecond
 	for range 9 {
--- a/review/_standin/record.go
+++ b/review/_standin/record.go
@@ -67,6 +67,25 @@
 	r.write("flow of port %d open at %s", flow.Port(), host)
 }
 
+// ended records that a flow has ended at a host.
+func (r *recorder) ended(flow netip.AddrPort, host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.owner[flow] == host {
+		delete(r.owner, flow)
+		delete(r.strays, flow)
+	}
+}
+
+// hostReset judges FLOW (a) for a reset that a host sends: no other host holds the flow.
+func (r *recorder) hostReset(flow netip.AddrPort, host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if owner, open := r.owner[flow]; open && owner != host {
+		r.breakLocked("FLOW", "port %d gets a reset of %s, where an earlier flow ended, while host %s holds its flow", flow.Port(), host, owner)
+	}
+}
+
 // packetAt records that a packet of a flow reached a host.
 func (r *recorder) packetAt(flow netip.AddrPort, host string) {
 	r.mu.Lock()
