--- a/review/_standin/logs.go
+++ b/review/_standin/logs.go
@@ -7,19 +7,22 @@
 )
 
 // logPipe is the pipe from the processes of one machine to a collector of logs.
-type logPipe struct{ r, w *os.File }
+type logPipe struct {
+	r, w *os.File
+	done chan struct{} // closed when the collector reads no more
+}
 
 func newLogPipe() (*logPipe, error) {
 	r, w, err := os.Pipe()
 	if err != nil {
 		return nil, err
 	}
-	l := &logPipe{r, w}
-	return l, nil
+	return &logPipe{r, w, make(chan struct{})}, nil
 }
 
 // collect reads the log until stop is called.
 func (l *logPipe) collect() {
+	defer close(l.done)
 	buf := make([]byte, 64<<10)
 	for {
 		if _, err := l.r.Read(buf); err != nil {
@@ -29,7 +32,11 @@
 }
 
 // stop makes the collector stop reading. The pipe stays open.
-func (l *logPipe) stop() error { return l.r.SetReadDeadline(time.Now()) }
+func (l *logPipe) stop() error {
+	err := l.r.SetReadDeadline(time.Now())
+	<-l.done
+	return err
+}
 
 // fill writes lines until the pipe is full, as the programs of a machine do some time after
 // its collector has stopped reading.
