--- a/review/_standin/case_config.go
+++ b/review/_standin/case_config.go
@@ -10,7 +10,7 @@
 }
 
 const (
-	idleRoutes    = 2800                   // eight times the 350 routes of big_config
+	idleRoutes    = 1750                   // five times the 350 routes of big_config
 	stormGap      = 60 * time.Millisecond  // gap_s of config_storm
 	stormVersions = 25                     // in its 1.5 s
 	propagation   = 3 * time.Second        // config-propagation-ms
@@ -24,17 +24,19 @@
 func playConfig(d *deployment, trouble bool) {
 	d.putConfig(10, idleRoutes, firstPort)
 	time.Sleep(propagation)
+	d.putConfig(11, idleRoutes, firstPort)
+	time.Sleep(300 * time.Millisecond) // all balancers wait for the next change
 	disrupted := time.Now()
 	if trouble {
 		d.store.silence()
 		d.rec.note("all open connections to the store go silent for good; new ones work")
 	}
 	for i := 1; i <= stormVersions; i++ {
-		d.putConfig(10+2*i, idleRoutes, firstPort+i)
+		d.putConfig(11+2*i, idleRoutes, firstPort+i)
 		time.Sleep(stormGap)
 	}
 	acked, last := time.Now(), firstPort+stormVersions
-	d.rec.note("ack of version %d, which has a route on port %d only", 10+2*stormVersions, last)
+	d.rec.note("ack of version %d, which has a route on port %d only", 11+2*stormVersions, last)
 	inTouch := disrupted.Add(stableWindow)
 	if bound := acked.Add(propagation); bound.After(inTouch) {
 		inTouch = bound
