--- a/review/_standin/host.go
+++ b/review/_standin/host.go
@@ -22,7 +22,6 @@
 	next     uint32 // sequence number that the client sends next
 	sent     uint32 // sequence number that the host sends next
 	lastAck  uint32
-	fin      bool
 	answered map[uint32]bool
 }
 
--- a/review/_standin/process.go
+++ b/review/_standin/process.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -137,14 +135,3 @@
 	p.signal(syscall.SIGKILL)
 	<-p.done
 }
-
-// lastError returns the end of what the process wrote to standard error.
-func (p *process) lastError() string {
-	f, err := os.Open(filepath.Join(p.dir, p.name+".err"))
-	if err != nil {
-		return ""
-	}
-	defer f.Close()
-	b, _ := io.ReadAll(io.LimitReader(f, 600))
-	return fmt.Sprintf("%.600s", b)
-}
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -31,15 +31,13 @@
 	at      time.Time
 }
 
-// store is a stand-in of the platform's metadata store. Each machine has an address of its
-// own for it, so that it can turn single machines away.
+// store is a stand-in of the platform's metadata store.
 type store struct {
 	mu       sync.Mutex
 	revision uint64
 	objects  map[string]map[string]object // by kind and name
 	events   []event
 	changed  chan struct{}
-	refuse   map[string]string // by listening address: "" serves, "silent", "busy"
 	dropped  uint64            // revision up to which the history is gone
 	silenced int               // number of times that open connections have gone silent
 }
@@ -48,7 +46,7 @@
 const history = 20 * time.Second
 
 func newStore() *store {
-	return &store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{}), refuse: map[string]string{}}
+	return &store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{})}
 }
 
 // listen serves the store at an address.
@@ -58,18 +56,11 @@
 		return err
 	}
 	go func() {
-		_ = http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, addr) }))
+		_ = http.Serve(ln, http.HandlerFunc(s.serve))
 	}()
 	return nil
 }
 
-// setMode sets how the store treats the calls at an address.
-func (s *store) setMode(addr, mode string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refuse[addr] = mode
-}
-
 // silence makes all open connections silent for good. New ones work.
 func (s *store) silence() {
 	s.mu.Lock()
@@ -77,21 +68,7 @@
 	s.silenced++
 }
 
-func (s *store) mode(addr string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.refuse[addr]
-}
-
-func (s *store) serve(w http.ResponseWriter, r *http.Request, addr string) {
-	switch s.mode(addr) {
-	case "silent":
-		<-r.Context().Done()
-		return
-	case "busy":
-		http.Error(w, "{}", http.StatusServiceUnavailable)
-		return
-	}
+func (s *store) serve(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(4 * time.Millisecond)
 	path, ok := strings.CutPrefix(r.URL.Path, "/bulrushshelf/objects/")
 	if !ok {
