--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -38,8 +38,8 @@
 	objects  map[string]map[string]object // by kind and name
 	events   []event
 	changed  chan struct{}
-	dropped  uint64            // revision up to which the history is gone
-	silenced int               // number of times that open connections have gone silent
+	dropped  uint64 // revision up to which the history is gone
+	silenced int    // number of times that open connections have gone silent
 }
 
 // history is history-s: how long the store keeps its events.
