A closed flow does not catch packets of the next flow from its port

Callers saw: after a planned restart of a balancer, packets of an open flow went to the target of the flow that the same port had before.

Cause: a flow was identified by addresses and ports alone. An agent kept a closed flow for 3 s, delivered the next flow's packets to its target and answered lookups with "held". The same class: entries of abandoned flows, entries of balancers with an answered opening, denials in pending lookups, pending resets.

Change: the acknowledgement numbers of the caller's packets are checked against what the agent's target has sent. Others are refused, as not held if the flow has closed, and otherwise by a new reason that no balancer takes for a denial. Balancers tell openings and lookups of successive flows apart in the same way. It works because each target starts a flow at a number of its own and all its packets pass the agent. Late packets of the closing flow still reach their target.

Tests changed: the simulated target advances its sequence numbers with its answers, as the protocol asks (they stayed at the first one, so that acknowledgements ran ahead of what was sent). Two tests of starts asked for the status of a flow with an acknowledgement of 0, which its caller never sent; they ask with that of the flow's request now, and expect the same statuses.

--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -66,6 +66,9 @@
 func (c *Core) handleSubsequent(now time.Time, from netip.AddrPort, m steerwire.Forward, s segment.Segment) {
 	f := c.flows[s.Flow]
 	switch {
+	case f != nil && !f.closed && f.phase == phaseEstablished && !f.sent.contains(s.Ack):
+		c.refuse(now, from, m, s, steerwire.ReasonOtherFlow)
+		return
 	case (f == nil || f.phase != phaseProbing) && c.flowStatus(s.Flow, s.Ack) == steerwire.Unsure:
 		// The agent started after the target, so the target may hold the flow. It
 		// bounces the packet if it does not.
@@ -81,9 +84,9 @@
 	case f.phase == phaseProbing:
 		c.count(CounterDropped, "probing") // at most one probe per flow
 		return
-	case f.phase == phaseOpening, f.phase == phaseAccepted && s.Ack != f.targetISN+1:
-		// The caller acknowledges an answer that this target has not sent: the flow
-		// is held by another target that got a copy of the opening packet.
+	case f.phase == phaseOpening, f.phase == phaseAccepted && s.Ack != f.targetISN+1, !f.sent.contains(s.Ack):
+		// The caller acknowledges what this target has not sent: the flow is held by another
+		// target that got a copy of the opening packet, or the port's next one.
 		c.refuse(now, from, m, s, steerwire.ReasonNotHeld)
 		return
 	}
@@ -154,6 +157,11 @@
 		return c.actions
 	}
 	f := c.flows[s.Flow]
+	if f != nil && f.opensAnother(s) {
+		next := &flow{phase: phaseAccepted, targetISN: s.Seq, balancer: f.balancer, createdAt: now, callerNextSeq: s.Ack}
+		c.removeFlow(now, s.Flow, f)
+		f, c.flows[s.Flow] = next, next
+	}
 	switch {
 	case f == nil && s.Flags.Has(segment.RST):
 		// A reset of an unknown flow needs no flow entry.
@@ -168,7 +176,7 @@
 	case s.Accepts():
 		c.bouncedOpenings = 0
 		if f.phase == phaseOpening || f.phase == phaseAccepted { // a restarted target answers a copy anew
-			f.phase, f.targetISN = phaseAccepted, s.Seq
+			f.phase, f.targetISN, f.sent = phaseAccepted, s.Seq, ackRange{}
 		}
 		if f.balancer.IsValid() && f.phase != phaseProbing {
 			c.send(f.balancer, steerwire.Message{Kind: steerwire.KindOpened, Opened: steerwire.Opened{Flow: s.Flow}})
@@ -180,6 +188,10 @@
 	}
 	if f != nil {
 		f.lastSeen = now
+		f.sent.extend(s)
+		if f.mayPredate && f.phase == phaseAccepted && s.Accepts() {
+			f.sent.estimated, f.sent.end = true, s.Seq+maxAckAdvance // the answer may be to a late copy
+		}
 		f.confirmedHeld = f.confirmedHeld || f.phase == phaseEstablished && !s.Accepts()
 		if f.requestActive && (s.DataLen > 0 || s.Flags.Has(segment.RST)) {
 			c.recordOutcome(now, s.Flow, f, s.DataLen == 0)
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -62,11 +62,6 @@
 // maxFlows is the maximum number of flows in the flow table; a target holds a few thousand.
 const maxFlows = 65_536
 
-// maxAckAdvance bounds the bytes that a target has sent on a flow. It answers a late copy of
-// the opening packet with the sequence number of its first answer, which the caller has
-// acknowledged since; a target that holds another flow or none answers with another one.
-const maxAckAdvance = 1 << 24
-
 // maxUnansweredOpenings is the number of consecutive opening packets without an answer,
 // or bounced, at which the target is marked silent. A single packet may have been lost.
 const maxUnansweredOpenings = 2
@@ -167,6 +162,7 @@
 type flow struct {
 	phase         phase
 	targetISN     uint32         // sequence number of the target's answer to the opening packet
+	sent          ackRange       // sequence numbers of the target's packets
 	balancer      netip.AddrPort // that forwarded the last packet
 	createdAt     time.Time      // delivery of the opening packet or probe, or the target's first packet
 	lastSeen      time.Time
@@ -334,6 +330,8 @@
 func (c *Core) flowStatus(key model.Flow, ack uint32) steerwire.FlowStatus {
 	if f := c.flows[key]; f != nil {
 		switch {
+		case f.phase == phaseEstablished && !f.sent.contains(ack):
+			return f.otherFlowStatus(c.mayHoldUnseen)
 		case f.phase == phaseEstablished, f.phase == phaseAccepted && ack == f.targetISN+1:
 			return steerwire.Held
 		case f.phase == phaseProbing, f.mayPredate && (f.phase == phaseOpening || ack-f.targetISN-1 < maxAckAdvance):
--- a/internal/passthrough/starts_test.go
+++ b/internal/passthrough/starts_test.go
@@ -84,7 +84,7 @@
 			at := 100 + 1000*int(n)
 			v, _ := c.HandleHeartbeat(ms(at), restarted("t0", change, 40+n))
 			is.Equal(v, Unconfirmed)
-			is.Equal(c.flowStatus(flowOf(1), 0), steerwire.Held)
+			is.Equal(c.flowStatus(flowOf(1), request(1).Ack), steerwire.Held)
 			v, _ = c.HandleHeartbeat(ms(at+800), heartbeat(2+n))
 			is.Equal(v, Accepted)
 		}
@@ -145,7 +145,7 @@
 	for seq := uint64(1); seq <= 3; seq++ {
 		c.HandleHeartbeat(ms(510+1000*int(seq)), restarted("t1", time.Minute, seq))
 	}
-	is.Equal(c.flowStatus(flowOf(2), 0), steerwire.Held)
+	is.Equal(c.flowStatus(flowOf(2), request(2).Ack), steerwire.Held)
 	ack := request(1)
 	ack.Ack = 7001
 	is.Equal(delivered(forward(c, ms(3600), ack)), 1)
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -20,7 +20,11 @@
 // handleOpening handles the opening packet of a flow, or a retransmission of it.
 func (c *Core) handleOpening(now time.Time, s segment.Segment, raw []byte) {
 	f := c.flows[s.Flow]
-	if f != nil && f.ntried == 0 {
+	if f != nil && f.opened && !sameFlow(f.seq, s.Seq) {
+		c.forgetFlow(s.Flow)
+		f = nil
+	}
+	if f != nil && f.ntried == 0 && !f.opened {
 		return // queued for a target
 	}
 	if f != nil && (f.opened || now.Sub(f.openingAt) < openTimeout) {
@@ -41,12 +45,12 @@
 			c.count(CounterDropped, "flow_table_full")
 			return
 		}
+		c.forgetFlow(s.Flow) // an earlier flow with the same addresses
 		f = &flow{service: route.service(s.Flow.Hash())}
 		c.flows[s.Flow] = f
-		delete(c.lookups, s.Flow) // left from an earlier flow with the same addresses
 	}
 	f.syn = append(f.syn[:0], raw...)
-	f.lastSeen = now
+	f.lastSeen, f.seq = now, s.Seq
 	c.placeFlow(now, s.Flow, f)
 }
 
@@ -205,7 +209,7 @@
 		c.lookUpHolder(now, s, raw, true)
 		return
 	}
-	f.lastSeen, f.ack = now, s.Ack
+	f.lastSeen, f.seq, f.ack = now, s.Seq, s.Ack
 	c.forwardShaped(now, f, s, raw)
 }
 
@@ -235,6 +239,10 @@
 		delete(c.flows, s.Flow)
 		return
 	}
+	if r.Reason == steerwire.ReasonOtherFlow {
+		c.handleOtherFlow(now, from, r, s, f)
+		return
+	}
 	// Another target holds the flow: the opening packet was sent to several targets, or
 	// the flow table is out of date.
 	if f != nil && f.target != from {
@@ -264,7 +272,7 @@
 // handleOpened records that a target answered an opening packet.
 func (c *Core) handleOpened(now time.Time, from netip.AddrPort, o steerwire.Opened) {
 	f := c.flows[o.Flow]
-	if f == nil {
+	if f == nil || f.opened && c.lookups[o.Flow] != nil {
 		c.handleConfirmedProbe(now, from, o)
 		return
 	}
--- a/internal/steer/flowtable.go
+++ b/internal/steer/flowtable.go
@@ -22,7 +22,7 @@
 	lastSeen   time.Time
 	service    model.ServiceName
 	syn        []byte // copy of the opening packet, for retries at other targets
-	ack        uint32 // last acknowledgement number from the caller
+	seq, ack   uint32 // sequence and acknowledgement numbers of the caller's last packet
 }
 
 func (f *flow) wasTried(a netip.AddrPort) bool { return slices.Contains(f.tried[:f.ntried], a) }
--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -16,7 +16,7 @@
 	unanswered []netip.AddrPort // agents with an outstanding answer
 	unsure     []netip.AddrPort // agents that answered Unsure
 	buffered   [][]byte
-	ack        uint32
+	seq, ack   uint32    // of the last packet
 	startedAt  time.Time // when the first packet arrived
 	phaseStart time.Time // when the last queries were sent, or the last round ended without a holder
 	attempts   int       // queries to unanswered agents in this round; 0 before the first round
@@ -43,13 +43,18 @@
 // lookUpHolder buffers a packet of a flow and looks up the flow's holder. It queries all
 // possible holders, and before them the balancers of the data centre if hints is set.
 func (c *Core) lookUpHolder(now time.Time, s segment.Segment, raw []byte, hints bool) {
-	if r, ok := c.pendingReset[s.Flow]; ok {
+	if r, ok := c.pendingReset[s.Flow]; ok && !sameFlow(r.ack, s.Ack) {
+		delete(c.pendingReset, s.Flow)
+	} else if ok {
 		r.ack = s.Ack
 		c.pendingReset[s.Flow] = r
 		c.count(CounterDropped, "returning")
 		return
 	}
 	l := c.lookups[s.Flow]
+	if l != nil && !sameFlow(l.ack, s.Ack) {
+		l = nil // of an earlier flow with the same addresses, which other targets denied
+	}
 	if l == nil {
 		if len(c.lookups) >= maxLookups {
 			c.count(CounterDropped, "ask_table_full")
@@ -58,7 +63,7 @@
 		l = &lookup{startedAt: now, idle: true}
 		c.lookups[s.Flow] = l
 	}
-	l.ack = s.Ack
+	l.seq, l.ack = s.Seq, s.Ack
 	if l.idle && !l.phaseStart.IsZero() && now.Sub(l.phaseStart) < lookupRetryDelay {
 		c.count(CounterDropped, "no_holder")
 		return
@@ -163,7 +168,7 @@
 // holderFound ends a lookup and forwards the buffered packets to the flow's target.
 func (c *Core) holderFound(now time.Time, key model.Flow, l *lookup, target netip.AddrPort, reason string) {
 	delete(c.lookups, key)
-	f := &flow{target: target, opened: true, lastSeen: now, openingAt: now, ack: l.ack}
+	f := &flow{target: target, opened: true, lastSeen: now, openingAt: now, seq: l.seq, ack: l.ack}
 	if t := c.targets[target]; t != nil {
 		f.service = t.report.Service
 	}
--- a/internal/steer/resets.go
+++ b/internal/steer/resets.go
@@ -50,7 +50,10 @@
 	slices.Sort(services)
 	for _, s := range services {
 		for _, key := range c.resetQueues[s].Release(now, c.serviceCapacity(now, s), maxResetDelay) {
-			r := c.pendingReset[key]
+			r, ok := c.pendingReset[key]
+			if !ok {
+				continue // the caller has opened another flow meanwhile
+			}
 			delete(c.pendingReset, key)
 			c.observe(LatencyLookup, "no_holder", now.Sub(r.since))
 			c.log(Entry{Event: "reset", Flow: key, Service: s, Reason: "no_holder", Version: c.version(), Age: now.Sub(r.since)})
--- a/internal/steersim/caller_test.go
+++ b/internal/steersim/caller_test.go
@@ -134,10 +134,10 @@
 	c.requestsLeft--
 	c.awaitingReply = true
 	start, seq := c.s.now, c.seq
-	c.seq += 50
+	c.seq += requestLen
 	var try func(wait time.Duration)
 	try = func(wait time.Duration) {
-		if !c.awaitingReply || c.ended || c.seq != seq+50 {
+		if !c.awaitingReply || c.ended || c.seq != seq+requestLen {
 			return
 		}
 		if c.s.now.Sub(start) > max(c.deadline, c.s.patience) {
@@ -145,7 +145,7 @@
 			c.end(false)
 			return
 		}
-		c.send(segment.Segment{Flow: c.flow, Flags: segment.ACK, Seq: seq, Ack: c.ack, DataLen: 50})
+		c.send(segment.Segment{Flow: c.flow, Flags: segment.ACK, Seq: seq, Ack: c.ack, DataLen: requestLen})
 		c.s.after(wait, func() { try(min(wait*2, maxRetransmitInterval)) })
 	}
 	try(200 * time.Millisecond)
--- a/internal/steersim/target_test.go
+++ b/internal/steersim/target_test.go
@@ -31,9 +31,21 @@
 type flowState struct {
 	seq         uint32 // sequence number of the SYN+ACK
 	established bool   // the caller has acknowledged the SYN+ACK
+	firstSeq    uint32 // sequence number of the caller's first data
 	nextSeq     uint32 // sequence number after the caller's data seen so far
 }
 
+// Lengths of a request and its answer in bytes.
+const (
+	requestLen = 50
+	answerLen  = 100
+)
+
+// answerSeq returns the sequence number of the answer to a packet of the caller.
+func (h *flowState) answerSeq(g segment.Segment) uint32 {
+	return h.seq + 1 + (g.Seq-h.firstSeq)/requestLen*answerLen
+}
+
 func (a *agent) newTarget(service model.ServiceName) {
 	s := a.s
 	t := &target{agent: a, service: service, id: fmt.Sprintf("t%d", s.rand.Uint32()), startMillis: s.timeOfDay(a.addr), flows: map[model.Flow]*flowState{}, workTime: 25 * time.Millisecond, slots: 3}
@@ -96,7 +108,7 @@
 			s.fail("a draining target got a new flow %s after %s", g.Flow.Src, s.now.Sub(t.drainedAt))
 		}
 		if h == nil {
-			h = &flowState{seq: s.rand.Uint32(), nextSeq: g.Seq + 1}
+			h = &flowState{seq: s.rand.Uint32(), firstSeq: g.Seq + 1, nextSeq: g.Seq + 1}
 			t.flows[g.Flow] = h
 		}
 		a.sendFromTarget(segment.Segment{Flow: g.Flow, FromTarget: true, Flags: segment.SYN | segment.ACK, Seq: h.seq, Ack: g.Seq + 1})
@@ -115,7 +127,7 @@
 	if g.Flags.Has(segment.FIN) {
 		delete(t.flows, g.Flow)
 		delete(s.holders, g.Flow)
-		a.sendFromTarget(segment.Segment{Flow: g.Flow, FromTarget: true, Flags: segment.FIN | segment.ACK, Seq: h.seq + 1, Ack: g.Seq + 1})
+		a.sendFromTarget(segment.Segment{Flow: g.Flow, FromTarget: true, Flags: segment.FIN | segment.ACK, Seq: h.answerSeq(g), Ack: g.Seq + 1})
 		return
 	}
 	if g.DataLen > 0 && int32(g.Seq+uint32(g.DataLen)-h.nextSeq) > 0 {
@@ -123,11 +135,11 @@
 		s.requestRuns[fmt.Sprintf("%s/%d", g.Flow.Src, g.Seq)]++
 		a.enqueue(t, func() {
 			if t.flows[g.Flow] == h && !t.silent {
-				a.sendFromTarget(segment.Segment{Flow: g.Flow, FromTarget: true, Flags: segment.ACK, Seq: h.seq + 1, Ack: h.nextSeq, DataLen: 100})
+				a.sendFromTarget(segment.Segment{Flow: g.Flow, FromTarget: true, Flags: segment.ACK, Seq: h.answerSeq(g), Ack: h.nextSeq, DataLen: answerLen})
 			}
 		})
 	} else if g.DataLen > 0 { // a retransmitted request whose answer may have been lost
-		a.sendFromTarget(segment.Segment{Flow: g.Flow, FromTarget: true, Flags: segment.ACK, Seq: h.seq + 1, Ack: h.nextSeq, DataLen: 100})
+		a.sendFromTarget(segment.Segment{Flow: g.Flow, FromTarget: true, Flags: segment.ACK, Seq: h.answerSeq(g), Ack: h.nextSeq, DataLen: answerLen})
 	}
 }
 
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -71,11 +71,12 @@
 	ReasonFull                           // the target bounced an opening packet, or the flow table is full
 	ReasonNotHeld                        // the target does not hold the flow
 	ReasonLost                           // the target held the flow and no longer does
+	ReasonOtherFlow                      // the target holds another flow of the same addresses and ports
 )
 
 // String returns the reason as used in logs and counters.
 func (r Reason) String() string {
-	names := [...]string{"none", "wrong_service", "draining", "unready", "silent", "full", "not_held", "lost"}
+	names := [...]string{"none", "wrong_service", "draining", "unready", "silent", "full", "not_held", "lost", "other_flow"}
 	if int(r) < len(names) {
 		return names[r]
 	}
