A log reader that has stopped does not hold up the end of a process

Cause: lines were written to standard output by the goroutine that logs. With a full pipe that write never returns. Packets did not wait for it, because passnode queues its lines, but Agent.Run and Balancer.Run wait for the goroutine behind that queue, and Process.Run and daemon.Process write "started", "stopped", "settings_reloaded" and errors themselves. The process hung until SIGKILL, and 2.5 s after its last report the balancers took the agent for lost.

Change: telemetry.LogQueue stands in front of the log of every long-running process (balancer and agent of both modes, the development store). Write never blocks: 256 KB of lines wait for the reader, later ones are dropped and counted in log_lines_dropped by reason, and a line tells their number once the reader goes on. A process that ends waits 0.2 s for the reader. Messages of the standard library (net/http) and errors before the exit take the same way. Lines that passnode leaves out by rate are counted there too.

Why it works: the only goroutine that can block in a write is one that nothing waits for, other than for those 0.2 s.

--- a/cmd/bulrushshelf-store/main.go
+++ b/cmd/bulrushshelf-store/main.go
@@ -44,10 +44,15 @@
 }
 
 func run(ctx context.Context, s *settings.Store) error {
-	log, err := telemetry.NewLogger(os.Stderr, s.LogLevel, "bulrushshelf-store", "store")
+	metrics, err := telemetry.NewMetrics("bulrushshelf-store")
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	log, flushLog, err := telemetry.NewProcessLogger(os.Stderr, s.LogLevel, "bulrushshelf-store", "store", metrics)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer flushLog()
 	ln, err := net.Listen("tcp", s.ListenAddr.String())
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,22 +70,30 @@
 		return ExitOK
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		printError(err.Error())
 		return ExitUsage
 	}
 	if err := run(s); err != nil {
-		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
+		printError(trace.UserMessage(err))
 		return ExitFailure
 	}
 	return ExitOK
 }
 
+// printError writes a line to standard error, which may be read by nobody.
+func printError(message string) {
+	q := telemetry.NewLogQueue(os.Stderr, nil)
+	fmt.Fprintln(q, message)
+	q.Close()
+}
+
 // Process holds the log, metrics and endpoints of a long-running binary.
 type Process struct {
 	StartTime time.Time
 	Logger    *log.Logger
 	Metrics   *telemetry.Metrics
 	Endpoints *Endpoints
+	flushLog  func()
 }
 
 // Setup creates the logger, which writes to standard error, and the metrics, and binds the
@@ -93,10 +101,11 @@
 func Setup(binary settings.Binary, common settings.Common) (*Process, error) {
 	p := &Process{StartTime: time.Now()}
 	var err error
-	if p.Logger, err = telemetry.NewLogger(os.Stderr, common.LogLevel, string(binary), string(common.NodeID)); err != nil {
+	if p.Metrics, err = telemetry.NewMetrics(string(binary)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if p.Metrics, err = telemetry.NewMetrics(string(binary)); err != nil {
+	p.Logger, p.flushLog, err = telemetry.NewProcessLogger(os.Stderr, common.LogLevel, string(binary), string(common.NodeID), p.Metrics)
+	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	p.Endpoints, err = Listen(common.AdminAddr, common.MetricsAddr)
@@ -155,6 +164,7 @@
 		err = nil
 	}
 	p.Logger.Info("stopped", "cause", context.Cause(ctx), "err", err)
+	p.flushLog()
 	return err
 }
 
--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -68,7 +68,7 @@
 
 // NewAgent returns an agent with its sockets bound.
 func NewAgent(opts AgentOptions) (*Agent, error) {
-	a := &Agent{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, targetExited: make(chan struct{}), reregister: make(chan struct{}, 1)}
+	a := &Agent{opts: opts, logWriter: newLogWriter(opts.Logger, opts.Metrics), sender: datagramSender{metrics: opts.Metrics}, targetExited: make(chan struct{}), reregister: make(chan struct{}, 1)}
 	a.loop = newLoop(opts.Metrics, a.logWriter)
 	a.loop.handleDatagram, a.loop.next = a.handleDatagram, func() time.Time { return a.core.Next() }
 	a.loop.tick = func(now time.Time) { a.execute(now, a.core.Tick(now)) }
--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -88,7 +88,7 @@
 
 // NewBalancer returns a balancer with its sockets bound.
 func NewBalancer(opts BalancerOptions) (*Balancer, error) {
-	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1), decisionRequests: make(chan struct{}, 1)}
+	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger, opts.Metrics), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1), decisionRequests: make(chan struct{}, 1)}
 	b.loop = newLoop(opts.Metrics, b.logWriter)
 	b.loop.handleDatagram, b.loop.tick, b.loop.next = b.handleDatagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
--- a/internal/passnode/logs.go
+++ b/internal/passnode/logs.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/ring"
+	"github.com/bulrushshelf/bulrushshelf/internal/telemetry"
 )
 
 // Limits of the log.
@@ -28,18 +29,20 @@
 	args []any
 }
 
-// logWriter writes the log in a separate goroutine, so that a slow reader of the log
-// never blocks packets. Lines above the limits are dropped and counted.
+// logWriter formats the log in a separate goroutine, so that it takes no time from packets.
+// Lines above the limits are dropped and counted. The logger must not block, because the
+// process waits for the queued lines when it stops.
 type logWriter struct {
 	ring     *ring.Ring[logLine]
 	logger   *log.Logger
 	tokens   float64
 	tokensAt time.Time // when tokens were last added
 	dropped  uint64    // lines dropped since the last one that was queued
+	metrics  *telemetry.Metrics
 }
 
-func newLogWriter(l *log.Logger) *logWriter {
-	return &logWriter{ring: ring.New[logLine](logBuffer, nil), logger: l, tokens: logBurst}
+func newLogWriter(l *log.Logger, m *telemetry.Metrics) *logWriter {
+	return &logWriter{ring: ring.New[logLine](logBuffer, nil), logger: l, tokens: logBurst, metrics: m}
 }
 
 // enqueue queues a line. It must be called from the loop's goroutine only.
@@ -47,7 +50,7 @@
 	l.tokens = min(logBurst, l.tokens+now.Sub(l.tokensAt).Seconds()*logRate)
 	l.tokensAt = now
 	if l.tokens < 1 {
-		l.dropped++
+		l.drop(telemetry.DropRateLimited)
 		return
 	}
 	l.tokens--
@@ -57,10 +60,15 @@
 	if l.ring.Put(logLine{msg, args}) {
 		l.dropped = 0
 	} else {
-		l.dropped++
+		l.drop(telemetry.DropQueueFull)
 	}
 }
 
+func (l *logWriter) drop(reason string) {
+	l.dropped++
+	l.metrics.Count(telemetry.CounterLogDropped, reason, 1)
+}
+
 // run writes lines until ctx is done, then the queued ones.
 func (l *logWriter) run(ctx context.Context) error {
 	for {
