A watch lists again when its response can't be read

Cause: a watch repeated its call from the same revision after any failure but 410 and a new epoch. A page of a listing is limited by the store, the response to a watch is not.

Change: a read whose response exceeds the limit, or breaks off after a part, has an error kind of its own (incomplete), and a watch lists the state after it.

Why it works: the listing holds each object once, in pages that fit, so that its size does not depend on how many changes the client has missed.

--- a/internal/storeapi/storeapi.go
+++ b/internal/storeapi/storeapi.go
@@ -59,6 +59,9 @@
 	MaxContentBytes = 1 << 20
 	// MaxWriteDelay is the maximum time from the arrival of a write to its effect.
 	MaxWriteDelay = 2 * time.Second
+	// MaxPageBytes is the size of the contents after which a page ends, with the object that
+	// exceeds it or before. The response to a watch may hold all changes of the history.
+	MaxPageBytes = 1 << 20
 	// MaxPageObjects is the maximum number of objects on one page.
 	MaxPageObjects = 1000
 	// MaxWatchWait is the maximum time that a watch call waits for a change.
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -44,8 +44,9 @@
 	// DefaultWatchWait is short because a watch whose connection goes silent misses changes
 	// until the wait has ended. Only a few processes of a data centre watch.
 	DefaultWatchWait = 1200 * time.Millisecond
-	// maxResponseBytes fits a page of 1 MB of content plus one object, in base64.
-	maxResponseBytes = 4 << 20
+	// maxResponseBytes fits each page of a listing: base64 and JSON take less than twice the
+	// size of the contents. The response to a watch may be larger.
+	maxResponseBytes = 2 * (storeapi.MaxPageBytes + storeapi.MaxContentBytes)
 )
 
 // Counter counts calls, retries and read-backs; *telemetry.Metrics implements it.
@@ -201,7 +202,7 @@
 		epoch = epochOf(resp)
 		latest := c.recordEpoch(epoch)
 		var data []byte
-		if data, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes)); err == nil {
+		if data, err = ReadBody(resp); err == nil {
 			if epoch != 0 && epoch < latest && k.method == http.MethodGet {
 				return epoch, &Error{Kind: Outdated, Call: k.String(), Message: fmt.Sprintf("epoch %d, the store has %d", epoch, latest)}
 			}
@@ -209,12 +210,34 @@
 		}
 	}
 	kind := Lost
-	if !connected.Load() {
+	switch {
+	case !connected.Load():
 		kind = Unavailable
+	case errors.Is(err, errIncomplete) && k.method == http.MethodGet:
+		kind = Incomplete
 	}
 	return epoch, &Error{Kind: kind, Call: k.String(), Err: err}
 }
 
+// errIncomplete is the error of a response of which a part was read.
+var errIncomplete = errors.New("the response is incomplete")
+
+// ReadBody reads the body of a response of the store. It fails if the body exceeds the limit
+// of the client. Adapters that read bodies return its errors as they are.
+func ReadBody(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength > maxResponseBytes {
+		return nil, fmt.Errorf("%w: %d bytes, above the limit of %d", errIncomplete, resp.ContentLength, maxResponseBytes)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	switch {
+	case len(data) > maxResponseBytes:
+		return nil, fmt.Errorf("%w: above the limit of %d bytes", errIncomplete, maxResponseBytes)
+	case err != nil && len(data) > 0:
+		return nil, fmt.Errorf("%w: ends after %d bytes: %w", errIncomplete, len(data), err)
+	}
+	return data, err
+}
+
 // epochOf returns the epoch of a response, 0 if the store does not tell it.
 func epochOf(resp *http.Response) uint64 {
 	epoch, err := strconv.ParseUint(resp.Header.Get(storeapi.EpochHeader), 10, 64)
--- a/internal/storeclient/error.go
+++ b/internal/storeclient/error.go
@@ -31,11 +31,13 @@
 	// Outdated: the response, or the version that the call expects, is from before the
 	// store was restored.
 	Outdated
+	// Incomplete: the response to a read exceeds the client's limit, or ended early.
+	Incomplete
 )
 
 // String returns the kind as used in counter reasons.
 func (k ErrorKind) String() string {
-	names := [...]string{"none", "not_found", "conflict", "too_large", "rate_limited", "unavailable", "lost", "too_old", "invalid", "outdated"}
+	names := [...]string{"none", "not_found", "conflict", "too_large", "rate_limited", "unavailable", "lost", "too_old", "invalid", "outdated", "incomplete"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -73,5 +75,5 @@
 }
 
 func (k ErrorKind) retryable() bool {
-	return k == RateLimited || k == Unavailable || k == Lost || k == Outdated
+	return k == RateLimited || k == Unavailable || k == Lost || k == Outdated || k == Incomplete
 }
--- a/internal/storeclient/watch.go
+++ b/internal/storeclient/watch.go
@@ -35,14 +35,16 @@
 
 // Watch passes the changes under prefix after a position to handle, in order, until ctx
 // is done or handle returns an error. It lists all objects first if the position is
-// zero, and again if the store's history no longer reaches back to it or the store has
-// been restored since. It retries failed calls.
+// zero, and again if the store's history no longer reaches back to it, the changes since
+// are more than a response may hold, or the store has been restored since. It retries
+// failed calls.
 func (c *Client) Watch(ctx context.Context, prefix string, after Position, handle func(Batch) error, options ...WatchOption) error {
 	w := watch{client: c, prefix: prefix, after: after, relist: after == Position{}}
 	for _, o := range options {
 		o(&w)
 	}
 	for ctx.Err() == nil {
+		listing := w.relist
 		batch, err := w.next(ctx)
 		if err == nil {
 			w.failures = 0
@@ -58,7 +60,8 @@
 		if w.onError != nil {
 			w.onError(err)
 		}
-		if w.failures++; KindOf(err) == TooOld || KindOf(err) == Outdated {
+		w.failures++
+		if kind := KindOf(err); kind == TooOld || kind == Outdated || kind == Incomplete && !listing {
 			w.failures = 1 // the store answers, so the listing need not wait long
 		}
 		if c.sleepBeforeRetry(ctx, w.failures, err) != nil {
@@ -129,7 +132,9 @@
 	case w.after.Epoch != 0 && latest > w.after.Epoch:
 		w.relist = true
 		return Batch{}, &Error{Kind: Outdated, Call: "watch " + w.prefix, Message: fmt.Sprintf("after %s, the store has epoch %d", w.after, latest)}
-	case KindOf(err) == TooOld:
+	case KindOf(err) == TooOld, KindOf(err) == Incomplete:
+		// The same call would fail again: a response only grows until the store drops the
+		// history. The pages of a listing are limited.
 		w.relist = true
 		return Batch{}, err
 	case err != nil:
