A refused health check alone does not end flows of a target

Cause: CheckHealth takes a refused connection for "no target is running", and two decisions rested on that one check. At its start the agent concluded that it knew all flows of its target, for good, so that it denied the others, and balancers reset what every agent denies. At its stop it reported that its target had ended and that no flow was left.

What is certain: nothing about flows follows from a health check, which may fail while the target is well. A running target sends heartbeats to the agent on its own VM. So a target counts as not running only if it refuses a check, then sends neither a packet nor a heartbeat for two heartbeat intervals, and refuses a second check (passthrough.Core.NotRunningAt, passnode assessTarget). An agent that stops serves flows in that time, 2.5 s at most. Probes that were delivered meanwhile don't keep the agent from concluding, as the target has confirmed none of them.

Why it works: with a target that runs, a heartbeat or packet arrives between the two checks, whatever the checks say; its flows stay unsure and are probed, and the stop is an ordinary one.

The simulation's agents repeat the refused check in the same way; the test TestHistoryListingsAreShared, which told each new agent at once that no target runs, now lets it find out, with the same bound.

Cost: an agent that starts beside a target that is not running probes flows for two heartbeat intervals where it denied them at once before, and the stop of one whose target has just crashed takes as long.

--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -29,6 +29,9 @@
 	advertiseInterval = 200 * time.Millisecond
 	// registerRetryInterval is the delay after a failed write of the agent's object.
 	registerRetryInterval = 300 * time.Millisecond
+	// maxRefusalWait limits the wait of a stopping agent until a target that refuses health
+	// checks counts as not running. With unregisterTimeout it fits the shortest grace period.
+	maxRefusalWait = 2500 * time.Millisecond
 	// unregisterTimeout bounds the removal of the agent's object at shutdown. It is half of
 	// the shortest grace period, and longer than most times in which the store turns calls away.
 	unregisterTimeout = 3 * time.Second
@@ -158,9 +161,7 @@
 	}
 	targetEnded := state == steerwire.TargetGone
 	if !targetEnded {
-		bounded, cancel := context.WithTimeout(ctx, shutdownDelay)
-		health, err := a.opts.CheckTarget(bounded)
-		cancel()
+		health, err := a.assessTarget(ctx, shutdownDelay)
 		targetEnded = health == passthrough.NotRunning
 		a.logViaLoop(ctx, "health_check", "healthy", health == passthrough.Healthy, "running", !targetEnded, "err", errText(err))
 	}
@@ -276,7 +277,7 @@
 }
 
 func (a *Agent) checkTarget(ctx context.Context) error {
-	health, err := a.opts.CheckTarget(ctx)
+	health, err := a.assessTarget(ctx, 0)
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -28,6 +28,10 @@
 	// maxMissedHeartbeats is the number of heartbeat intervals without a packet or
 	// heartbeat of the target after which it is silent.
 	maxMissedHeartbeats = 3
+	// notRunningIntervals is the number of heartbeat intervals without a packet or heartbeat
+	// after which a target that refuses connections counts as not running. A running one
+	// sends a heartbeat in that time, even if it is late.
+	notRunningIntervals = 2
 	// balancerTimeout is the time without a hello after which a balancer is removed
 	// and gets no more reports.
 	balancerTimeout = 3 * time.Second
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -212,19 +212,40 @@
 // Health is the outcome of a health check.
 type Health uint8
 
-// The outcomes. NotRunning means that nothing listens at the target's address, so
-// there is no target that could hold flows.
+// The outcomes. NotRunning means that no target is running that could hold flows. A check
+// alone does not show it, see NotRunningAt.
 const (
 	Unhealthy Health = iota
 	Healthy
 	NotRunning
 )
 
+// NotRunningAt returns when a target that refuses connections counts as not running, if it
+// then refuses them still. It returns false if the target has sent a packet or a heartbeat
+// since the first refusal: health checks may fail while a target serves its flows.
+func (c *Core) NotRunningAt(refused time.Time) (time.Time, bool) {
+	if c.targetLastSeen.After(refused) {
+		return time.Time{}, false
+	}
+	return c.targetLastSeen.Add(notRunningIntervals * c.opts.HeartbeatInterval), true
+}
+
+// tracksOnlyProbes reports whether the target has confirmed none of the tracked flows.
+func (c *Core) tracksOnlyProbes() bool {
+	for _, f := range c.flows {
+		if f.phase != phaseProbing {
+			return false
+		}
+	}
+	return true
+}
+
 // HandleHealthCheck handles the outcome of a health check, which has effect until the
 // first heartbeat. The number of slots is unknown until then, so the minimum of one is used.
 func (c *Core) HandleHealthCheck(now time.Time, h Health) []Action {
 	c.actions = c.actions[:0]
-	if h == NotRunning && len(c.flows) == 0 && !c.heartbeatReceived {
+	if h == NotRunning && !c.heartbeatReceived && c.tracksOnlyProbes() {
+		c.dropProbes(now)
 		c.mayHoldUnseen = false
 		c.log(Entry{Event: "flows_certain", Reason: "target_not_running"})
 	} else if c.mayHoldUnseen {
--- a/internal/steersim/processes_test.go
+++ b/internal/steersim/processes_test.go
@@ -31,7 +31,8 @@
 		health := passthrough.Healthy
 		switch {
 		case a.target.exited:
-			health = passthrough.NotRunning
+			a.confirmNotRunning(core, a.s.clock(a.addr))
+			return
 		case a.target.draining:
 			health = passthrough.Unhealthy
 		}
@@ -39,6 +40,21 @@
 	})
 }
 
+// confirmNotRunning repeats a health check that was refused, as passnode does.
+func (a *agent) confirmNotRunning(core *passthrough.Core, refused time.Time) {
+	at, _ := core.NotRunningAt(refused)
+	a.s.after(at.Sub(refused), func() {
+		if a.core != core {
+			return
+		}
+		health := passthrough.Unhealthy
+		if _, silent := core.NotRunningAt(refused); silent && a.target.exited {
+			health = passthrough.NotRunning
+		}
+		a.execute(core.HandleHealthCheck(a.s.clock(a.addr), health))
+	})
+}
+
 // killFor kills the agent, which starts again after a time.
 func (a *agent) killFor(d time.Duration) {
 	if a.core == nil {
--- a/internal/steersim/readers_test.go
+++ b/internal/steersim/readers_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/bulrushshelf/bulrushshelf/internal/passthrough"
 )
 
 const (
@@ -180,7 +178,7 @@
 			s.after(time.Duration(s.rand.IntN(300))*time.Millisecond, func() {
 				a.newTarget(a.target.service)
 				a.start(false)
-				a.execute(a.core.HandleHealthCheck(s.now, passthrough.NotRunning))
+				a.confirmNotRunning(a.core, s.now)
 			})
 		}
 		clear(s.holders)
