steer: a listing query is not replaced before its answer can arrive

What callers saw: after a loss of power some balancers reset no flow for up to 2 s, and callers waited for their own timeout.

Cause: a balancer that needs a fresh listing asks the highest reader, at most every 100 ms. A new query replaced the pending one. The reader lists at most every 100 ms and the store takes 8 ms, so a balancer that asks just after the reader's last listing gets its answer after 108 ms, to a query that it no longer waits for, each time. The time-out of 200 ms, after which it would list itself, began anew with each query.

Change: a wanted listing waits until the pending query is answered or has timed out.

TestListingQueryIsNotReplacedBeforeItsAnswer failed before. steer passes.

--- a/internal/steer/readers.go
+++ b/internal/steer/readers.go
@@ -103,6 +103,10 @@
 // itself lists them, and so does each balancer of a data centre of readers only, because
 // the answer of another one takes up to minListInterval longer.
 func (c *Core) startListing(now time.Time) {
+	if c.listingQuery.pending() {
+		c.listingWanted = true // a new query would make the answer to this one void
+		return
+	}
 	readers := slices.DeleteFunc(c.readersAbove(now), func(a netip.AddrPort) bool { return c.peers[a].unresponsive })
 	if len(readers) == 0 || len(c.hintPeers(now)) < readersPerDataCentre {
 		c.actions = append(c.actions, Action{Kind: ListAgents})
