agents know from a target's first calls that it holds no earlier flow

Traced: 5 agents got 4,500 probes in the first 0.5 s and 200 to 350 a quarter second each after that; one balancer with 0.8 of a core dropped 4,500 log lines in a quarter second. On it a lookup took 0.18 to 0.27 s; the others have a quarter of its processor and links of 13 Mbit/s.

Change, see docs/design/return-after-power-loss.md: an agent that hears a target's first call (sequence 1), then the second one on schedule, and meanwhile was not paused and heard nothing of another start, service, exit or unknown flow, knows all flows of its target. In all five traced agents the first call came within 15 ms of both starts. Reports say in how long this is expected (CertainInMillis, key 25), and lookups that would probe more than eight such agents wait for it, 1.5 s at most. Everything else is probed as before.

Simulation: calls that nobody receives count in the sequence now, as on the platform.

TestFaultLateFirstCallsOfAnEarlierTarget fails if calls of another start in between are ignored (mutation).

--- /dev/null
+++ b/internal/passthrough/firstcall_test.go
@@ -0,0 +1,95 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
+)
+
+func firstCalls(seq uint64) Heartbeat {
+	h := heartbeat(seq)
+	h.FirstCall = seq == 1
+	return h
+}
+
+// tickUntil runs the timers of a core as its runtime does.
+func tickUntil(c *Core, from, to time.Time) {
+	for at := from; at.Before(to); at = at.Add(firstCallCheckInterval) {
+		c.Tick(at)
+	}
+}
+
+// Guards against callers of ended flows that are not reset for flow_idle after a loss of power,
+// and against resets of open flows because of calls that do not come from the running target.
+func TestFirstCallsMakeFlowsCertain(t *testing.T) {
+	other := firstCalls(1)
+	other.StartMillis++
+	second := func(change func(*Heartbeat)) Heartbeat {
+		h := firstCalls(2)
+		change(&h)
+		return h
+	}
+	tests := []struct {
+		name    string
+		between func(*Core)
+		at      int // of the second call, ms
+		second  Heartbeat
+		certain bool
+	}{
+		{name: "on schedule", at: 1005, second: firstCalls(2), certain: true},
+		{name: "released together with the first", at: 20, second: firstCalls(2)},
+		{name: "too late", at: 1600, second: firstCalls(2)},
+		{name: "a call was missed", at: 1005, second: firstCalls(3)},
+		{name: "another start", at: 1005, second: second(func(h *Heartbeat) { h.StartMillis++ })},
+		{name: "another identity", at: 1005, second: second(func(h *Heartbeat) { h.Target = "t2" })},
+		{name: "a call of another start in between", between: func(c *Core) { c.HandleHeartbeat(ms(500), other) }, at: 1005, second: firstCalls(2)},
+		{name: "a call of another service in between", between: func(c *Core) {
+			h := firstCalls(2)
+			h.Service = "other"
+			c.HandleHeartbeat(ms(500), h)
+		}, at: 1005, second: firstCalls(3)},
+		{name: "an exit in between", between: func(c *Core) { c.HandleTargetExit(ms(500), Exit{Target: "t0"}) }, at: 1005, second: firstCalls(2)},
+		{name: "an unknown flow of the target in between", between: func(c *Core) { c.FromTarget(ms(500), response(7), nil) }, at: 1005, second: firstCalls(2)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCore(false)
+			c.HandleHeartbeat(ms(5), firstCalls(1))
+			is.Equal(c.flowStatus(flowOf(1), 0), steerwire.Unsure)
+			tickUntil(c, ms(5), ms(500))
+			if tt.between != nil {
+				tt.between(c)
+			}
+			tickUntil(c, ms(500), ms(tt.at))
+			c.HandleHeartbeat(ms(tt.at), tt.second)
+			is.Equal(c.flowStatus(flowOf(1), 0) == steerwire.NotHeld, tt.certain)
+			is.Equal(c.certainIn(ms(tt.at)), time.Duration(0))
+		})
+	}
+}
+
+// Guards against resets after a pause of the agent, which hides the calls of the running target.
+func TestFirstCallsRoundAPauseShowNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	c.HandleHeartbeat(ms(5), firstCalls(1))
+	tickUntil(c, ms(5), ms(300))
+	is.True(c.certainIn(ms(300)) > 0)
+	c.HandleHeartbeat(ms(1005), firstCalls(2))
+	is.Equal(c.flowStatus(flowOf(1), 0), steerwire.Unsure)
+}
+
+// Guards against an agent that hears only the second call of its target.
+func TestLaterCallsShowNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	for seq := uint64(2); seq < 5; seq++ {
+		c.HandleHeartbeat(ms(int(seq)*1000), firstCalls(seq))
+		tickUntil(c, ms(int(seq)*1000), ms(int(seq)*1000+1000))
+	}
+	is.Equal(c.flowStatus(flowOf(1), 0), steerwire.Unsure)
+}
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -201,6 +201,7 @@
 	targetLastSeen     time.Time // last packet, heartbeat or successful health check
 	lastHeartbeat      time.Time // last accepted heartbeat
 	otherStart         otherStart
+	firstCall          firstCall
 	coldUntil          time.Time
 	fullUntil          time.Time
 	unansweredOpenings int // consecutive opening packets without an answer
@@ -208,8 +209,8 @@
 	// flows must not look idle to the balancers.
 	bouncedOpenings int
 	// mayHoldUnseen is set while the target may hold flows from before the agent's start.
-	// Only what the agent has seen itself ends it: clocks cannot tell which of the two
-	// started first.
+	// Only what the agent has seen itself ends it, see firstCall: the time of day cannot
+	// tell which of the two started first.
 	mayHoldUnseen        bool
 	leaving              bool
 	ended                bool      // the target has exited and the agent is about to
@@ -359,6 +360,7 @@
 		c.sendReports(now)
 	}
 	c.checkHeartbeatAge(now)
+	c.firstCall.observe(now)
 	if now.Sub(c.lastIdleSweep) >= idleSweepInterval {
 		c.lastIdleSweep = now
 		c.removeIdleFlows(now)
@@ -381,6 +383,9 @@
 	if !c.reportedDiscoverable && !c.firstHello.IsZero() {
 		next = minTime(next, c.firstHello.Add(unregisteredDelay))
 	}
+	if c.firstCall.state == firstCallHeard {
+		next = minTime(next, c.firstCall.checked.Add(firstCallCheckInterval))
+	}
 	if c.load.requests > 0 {
 		next = minTime(next, c.lastRequestSweep.Add(requestSweepInterval))
 	}
--- a/internal/passthrough/report.go
+++ b/internal/passthrough/report.go
@@ -87,6 +87,7 @@
 	case !c.discoverable(now):
 		r.State = steerwire.TargetUnknown
 	}
+	r.CertainInMillis = int(c.certainIn(now) / time.Millisecond)
 	if left := c.coldUntil.Sub(now); left > 0 {
 		r.ColdMillis = int(left / time.Millisecond)
 	}
--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -35,6 +35,9 @@
 	toProbe []netip.AddrPort
 	atOnce  int // maximum number of agents in probing
 	probed  []probedAgent
+	// awaitsCertainty is set while no agent is probed because the agents will know all flows
+	// of their targets shortly.
+	awaitsCertainty bool
 	// misplaced is set once the first buffered packet was sent to an agent whose target may
 	// not hold the flow. It is kept until the holder is found.
 	misplaced bool
@@ -85,14 +88,15 @@
 // NotHeld, up to maxQueryAttempts times.
 func (c *Core) startRound(now time.Time, key model.Flow, l *lookup) {
 	possible := c.possibleHolders(now)
+	waiting, unsure := c.splitUnsure(now, l)
 	var unanswered []netip.AddrPort
 	for _, to := range possible {
 		_, queried := slices.BinarySearchFunc(l.queried, to, netip.AddrPort.Compare)
-		if !queried || slices.Contains(l.unanswered, to) || slices.Contains(l.unsure, to) {
+		if !queried || slices.Contains(l.unanswered, to) || slices.Contains(unsure, to) {
 			unanswered = append(unanswered, to)
 		}
 	}
-	l.queried, l.unanswered, l.unsure, l.idle = possible, unanswered, l.unsure[:0], false
+	l.queried, l.unanswered, l.unsure, l.idle = possible, unanswered, waiting, false
 	l.phaseStart, l.attempts = now, 1
 	if len(l.unanswered) == 0 {
 		c.concludeRound(now, key, l)
@@ -374,6 +378,8 @@
 			timeout = hintTimeout
 		case len(l.probing) > 0:
 			timeout = probeTimeout
+		case l.awaitsCertainty:
+			timeout = certaintyCheckInterval
 		case l.incomplete && l.misplaced:
 			timeout = lookupRetryDelay
 		}
@@ -389,8 +395,10 @@
 			c.handleHintTimeout(now, k, l)
 		case len(l.probing) > 0:
 			c.handleProbeTimeout(now, k, l)
+		case l.awaitsCertainty && c.waitsForCertainty(now, l):
+			l.phaseStart = now
 		case l.incomplete:
-			l.incomplete = false
+			l.incomplete, l.awaitsCertainty = false, false
 			c.startRound(now, k, l)
 		case l.idle && l.finalRound:
 			if now.Sub(l.phaseStart) >= lookupExpiry {
--- a/internal/steer/probes.go
+++ b/internal/steer/probes.go
@@ -49,10 +49,11 @@
 	var first []netip.AddrPort // restarted with the probe
 	var again []netip.AddrPort // agents of silent targets do not return or confirm a probe
 	var others []netip.AddrPort
+	wait := c.waitsForCertainty(now, l)
 	complete := len(l.unanswered) == 0 && c.queriedAll(now, l, agentLossTimeout)
 	for _, a := range l.unsure {
 		t := c.targets[a]
-		if t == nil {
+		if t == nil || wait && t.certainSoon(now) {
 			continue
 		}
 		i := slices.IndexFunc(l.probed, func(p probedAgent) bool { return p.addr == a })
@@ -69,6 +70,10 @@
 		}
 	}
 	l.toProbe = slices.Concat(first, l.toProbe, others, again)
+	if len(l.toProbe) == 0 && wait {
+		c.awaitCertainty(now, key, l)
+		return true
+	}
 	if len(l.toProbe) == 0 {
 		return false
 	}
--- a/internal/steer/reports.go
+++ b/internal/steer/reports.go
@@ -48,6 +48,7 @@
 	t.assigned = 0
 	t.suspectUntil = time.Time{}
 	t.coldUntil = now.Add(time.Duration(r.ColdMillis) * time.Millisecond)
+	t.certainAt = now.Add(min(time.Duration(r.CertainInMillis)*time.Millisecond, maxCertaintyWait))
 	if old.Service != r.Service || len(c.byService[r.Service]) == 0 {
 		c.rebuildServiceIndex()
 	}
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -31,6 +31,7 @@
 	firstReport    time.Time       // when the first report of its incarnation was received
 	lastIgnored    time.Time       // when an ignored report was last logged
 	coldUntil      time.Time       // end of the target's warm-up
+	certainAt      time.Time       // when its agent expects to know all flows of the target
 	assigned       float64         // flows placed since the last report
 	suspectUntil   time.Time       // before it, the target gets no new flows if there are others
 }
--- a/internal/steersim/caller_test.go
+++ b/internal/steersim/caller_test.go
@@ -12,6 +12,9 @@
 	s.resets++
 	s.logf("balancer %s sent a reset to %s", b.addr, f.Src)
 	s.resetBy[f] = b
+	if _, reset := s.resetAt[f]; s.resetAt != nil && !reset {
+		s.resetAt[f] = s.now
+	}
 	if holder := s.holders[f]; holder != nil && !holder.exited && !holder.silent && s.counts(b, holder, f) {
 		s.failFlow(f, "balancer %s reset flow %s, which is open at a running target", b.addr, f.Src)
 	}
@@ -87,6 +90,9 @@
 	}
 	b := in[c.flow.Hash()%uint64(len(in))]
 	s.lastTaker[c.flow] = b
+	if _, sent := s.sentAt[c.flow]; s.sentAt != nil && !sent {
+		s.sentAt[c.flow] = s.now
+	}
 	s.after(callerDelay+s.callerDelay(g), func() { b.receive(g) })
 	if s.lateOpenings > 0 && g.Opens() && s.rand.Float64() < s.lateOpenings {
 		s.after(s.randomUpTo(maxOpeningDelay), func() { b.receive(g) })
--- a/internal/steersim/latetargets_test.go
+++ b/internal/steersim/latetargets_test.go
@@ -61,3 +61,33 @@
 		h.checkAllTargetsGetFlows()
 	})
 }
+
+// Guards against resets of idle flows of a running target whose agent restarts and then gets
+// the first calls of the target before, delayed and at the usual interval.
+func TestFaultLateFirstCallsOfAnEarlierTarget(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		s := newSim(t, seed, 3, map[model.ServiceName]int{"alpha": 2})
+		s.promptTimers = true
+		s.run(2 * time.Second)
+		a := s.agents[0]
+		earlier := passthrough.Heartbeat{Target: a.target.id, Service: a.target.service, Slots: a.target.slots, StartMillis: a.target.startMillis}
+		a.crashTarget(500*time.Millisecond, false)
+		s.run(3 * time.Second)
+		for range 40 {
+			s.openFlow(0, 4, 3*time.Second)
+		}
+		s.run(1200 * time.Millisecond)
+		a.restart()
+		for n := range uint64(4) {
+			s.after(processRestartTime+time.Millisecond+time.Duration(n)*s.heartbeatInterval, func() {
+				earlier.Sequence, earlier.FirstCall = n+1, n == 0
+				_, actions := a.core.HandleHeartbeat(s.clock(a.addr), earlier)
+				a.execute(actions)
+			})
+		}
+		for _, b := range s.balancers {
+			b.killFor(processRestartTime)
+		}
+		s.run(12 * time.Second) // reset checks that no running target holds the flow
+	})
+}
--- a/internal/steersim/network_test.go
+++ b/internal/steersim/network_test.go
@@ -19,34 +19,37 @@
 
 // faults holds the switches of the simulated network, processes and store.
 type faults struct {
-	probes          map[*balancer]int                                       // missed readiness checks; nil if rotation follows readiness at once
-	drop            func(from, to netip.AddrPort, m steerwire.Message) bool // loses messages; nil for none
-	delayShare      float64                                                 // fraction of the messages that are delayed
-	maxDelay        time.Duration                                           // of a delayed message
-	duplicateShare  float64                                                 // fraction of the messages that are delivered twice
-	openingDelay    time.Duration                                           // maximum of a delayed copy of an opening packet
-	packetJitter    time.Duration                                           // maximum extra delay of a caller's packet
-	lateOpenings    float64                                                 // fraction of the opening packets of which a copy arrives seconds late
-	patience        time.Duration                                           // for which callers retransmit a request, if longer than usual
-	reopenShare     float64                                                 // fraction of the closed flows whose addresses and ports are opened again
-	storeSlowness   time.Duration                                           // maximum extra time of a call to the store
-	staleness       time.Duration                                           // maximum age of listings that may be outdated
-	snapshots       []listingSnapshot                                       // of the agents in the store, oldest first
-	flowIdleTimeout time.Duration                                           // of agents
-	promptTimers    bool                                                    // timers follow each change of a core, and not only its ticks
-	seedCount       int                                                     // balancers in the settings of all processes
-	paused          map[netip.AddrPort]bool                                 // processes that do not run
-	inbox           map[netip.AddrPort][]func()                             // what a paused process will handle
-	suspended       map[netip.Addr]time.Duration                            // time that VMs were suspended
-	lastTaker       map[model.Flow]*balancer                                // balancer that was sent the last packet of a flow
-	resetBy         map[model.Flow]*balancer                                // balancer that reset a flow
-	placed          map[netip.AddrPort]map[netip.AddrPort]bool              // targets that each balancer has placed flows at; nil if not recorded
-	rule            *flowRule                                               // which resets of open flows count; nil for all
-	formerRoutes    map[netip.AddrPort][]model.ServiceName                  // services to which an address led earlier
-	routesMovedAt   time.Time                                               // last change of the routes
-	formerTargets   []*target                                               // targets that others followed at their addresses
-	stalled         int                                                     // requests on open flows of running targets that got no answer in time
-	uncounted       int                                                     // resets and misdirections of open flows that the rule does not count
+	probes            map[*balancer]int                                       // missed readiness checks; nil if rotation follows readiness at once
+	drop              func(from, to netip.AddrPort, m steerwire.Message) bool // loses messages; nil for none
+	delayShare        float64                                                 // fraction of the messages that are delayed
+	maxDelay          time.Duration                                           // of a delayed message
+	duplicateShare    float64                                                 // fraction of the messages that are delivered twice
+	openingDelay      time.Duration                                           // maximum of a delayed copy of an opening packet
+	packetJitter      time.Duration                                           // maximum extra delay of a caller's packet
+	lateOpenings      float64                                                 // fraction of the opening packets of which a copy arrives seconds late
+	patience          time.Duration                                           // for which callers retransmit a request, if longer than usual
+	reopenShare       float64                                                 // fraction of the closed flows whose addresses and ports are opened again
+	storeSlowness     time.Duration                                           // maximum extra time of a call to the store
+	staleness         time.Duration                                           // maximum age of listings that may be outdated
+	snapshots         []listingSnapshot                                       // of the agents in the store, oldest first
+	flowIdleTimeout   time.Duration                                           // of agents
+	heartbeatInterval time.Duration                                           // of targets
+	sentAt            map[model.Flow]time.Time                                // first packet of each flow to a balancer; nil if not recorded
+	resetAt           map[model.Flow]time.Time                                // first reset of each flow; nil if not recorded
+	promptTimers      bool                                                    // timers follow each change of a core, and not only its ticks
+	seedCount         int                                                     // balancers in the settings of all processes
+	paused            map[netip.AddrPort]bool                                 // processes that do not run
+	inbox             map[netip.AddrPort][]func()                             // what a paused process will handle
+	suspended         map[netip.Addr]time.Duration                            // time that VMs were suspended
+	lastTaker         map[model.Flow]*balancer                                // balancer that was sent the last packet of a flow
+	resetBy           map[model.Flow]*balancer                                // balancer that reset a flow
+	placed            map[netip.AddrPort]map[netip.AddrPort]bool              // targets that each balancer has placed flows at; nil if not recorded
+	rule              *flowRule                                               // which resets of open flows count; nil for all
+	formerRoutes      map[netip.AddrPort][]model.ServiceName                  // services to which an address led earlier
+	routesMovedAt     time.Time                                               // last change of the routes
+	formerTargets     []*target                                               // targets that others followed at their addresses
+	stalled           int                                                     // requests on open flows of running targets that got no answer in time
+	uncounted         int                                                     // resets and misdirections of open flows that the rule does not count
 }
 
 type listingSnapshot struct {
@@ -57,7 +60,7 @@
 
 func newFaults() faults {
 	return faults{
-		seedCount: 1, flowIdleTimeout: time.Minute, paused: map[netip.AddrPort]bool{}, inbox: map[netip.AddrPort][]func(){},
+		seedCount: 1, flowIdleTimeout: time.Minute, heartbeatInterval: heartbeatInterval, paused: map[netip.AddrPort]bool{}, inbox: map[netip.AddrPort][]func(){},
 		formerRoutes: map[netip.AddrPort][]model.ServiceName{}, suspended: map[netip.Addr]time.Duration{}, lastTaker: map[model.Flow]*balancer{}, resetBy: map[model.Flow]*balancer{},
 	}
 }
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -106,14 +106,8 @@
 		names = append(names, string(n))
 	}
 	sort.Strings(names)
-	for i, n := range names {
-		s.config.Routes[netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)}), 443)] = steer.Route{
-			Name: n, Shares: []steer.Share{{Service: model.ServiceName(n), Weight: 1}},
-			Terms: steerwire.Terms{Priority: 1, Objective: 150 * time.Millisecond, Deadline: 1200 * time.Millisecond},
-		}
-		for range services[model.ServiceName(n)] {
-			s.addAgent(model.ServiceName(n), true)
-		}
+	for _, n := range names {
+		s.addService(model.ServiceName(n), services[model.ServiceName(n)])
 	}
 	for range balancers {
 		s.addBalancer()
@@ -121,6 +115,18 @@
 	return s
 }
 
+// addService adds a service with its agents, and routes the next address to it.
+func (s *sim) addService(name model.ServiceName, agents int) {
+	i := len(s.config.Routes)
+	s.config.Routes[netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)}), 443)] = steer.Route{
+		Name: string(name), Shares: []steer.Share{{Service: name, Weight: 1}},
+		Terms: steerwire.Terms{Priority: 1, Objective: 150 * time.Millisecond, Deadline: 1200 * time.Millisecond},
+	}
+	for range agents {
+		s.addAgent(name, true)
+	}
+}
+
 func (s *sim) after(d time.Duration, f func()) {
 	s.seq++
 	heap.Push(&s.events, event{at: s.now.Add(d), seq: s.seq, run: f})
@@ -403,7 +409,7 @@
 	}
 	a.core = passthrough.New(s.clock(a.addr), passthrough.Options{
 		Node: model.NodeID("a" + a.addr.String()), Incarnation: a.incarnation, DataCentre: dataCentreOf(a.addr),
-		Service: a.target.service, HeartbeatInterval: heartbeatInterval, FlowIdleTimeout: s.flowIdleTimeout, FirstStart: firstStart, FullSegment: 1200,
+		Service: a.target.service, HeartbeatInterval: s.heartbeatInterval, FlowIdleTimeout: s.flowIdleTimeout, FirstStart: firstStart, FullSegment: 1200,
 	})
 	a.tick(a.core)
 	if core := a.core; a.listed || a.registers {
--- a/internal/steersim/target_test.go
+++ b/internal/steersim/target_test.go
@@ -60,17 +60,19 @@
 	if a.target != t || t.exited {
 		return
 	}
+	if !t.silent {
+		t.seq++ // also of a call that nobody receives
+	}
 	if !t.silent && a.core != nil && !a.s.paused[a.addr] {
-		t.seq++
 		v, actions := a.core.HandleHeartbeat(a.s.clock(a.addr), passthrough.Heartbeat{
-			Target: t.id, Service: t.service, Draining: t.draining, Slots: t.slots, Sequence: t.seq, StartMillis: t.startMillis,
+			Target: t.id, Service: t.service, Draining: t.draining, Slots: t.slots, Sequence: t.seq, FirstCall: t.seq == 1, StartMillis: t.startMillis,
 		})
 		if v == passthrough.Accepted && t.draining && t.drainedAt.IsZero() {
 			t.drainedAt = a.s.now
 		}
 		a.execute(actions)
 	}
-	a.s.after(heartbeatInterval, func() { a.sendHeartbeat(t) })
+	a.s.after(a.s.heartbeatInterval, func() { a.sendHeartbeat(t) })
 }
 
 // sendFromTarget sends a packet from the target through its agent.
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -284,6 +284,9 @@
 	// HelloID is the ID of the receiver's last hello, 0 if the agent has received none. It
 	// is nil in the reports of agents of an earlier release.
 	HelloID *uint64 `cbor:"16,keyasint,omitempty"`
+	// CertainInMillis is the time until the agent expects to know all flows of its target. It
+	// is 0 if the agent knows them, or has no reason to expect so before the idle timeout.
+	CertainInMillis int `cbor:"25,keyasint,omitzero"`
 }
 
 // Message is a decoded message. Only the field of its kind is set.
