--- a/internal/docgen/sweep.go
+++ b/internal/docgen/sweep.go
@@ -65,10 +65,20 @@
 | reports of an agent | as many as hellos it gets | one for each hello | nothing once hellos are bounded |
 | writes after the store is restored from a copy | one for each agent that the copy lacks: 8,600 starts a day are 1 in 10 s | only agents that a listing lacks write | a copy from before most agents: 59,000 writes, minutes at several hundred a second |
 | lookups | every agent once for each flow that no balancer of the data centre knows | hints first, batches, answers kept | 59,000 queries a flow: the agents of the address's services first |
-| probes | the first packet of such a flow at each agent that does not know all flows of its target, up to flow_idle after its start | one at a time, or an eighth of them at once | after a restart of all agents a full packet at every target for a flow that has ended: the targets of the address's services only, which needs earlier configurations to be known at a balancer's start |
+| probes | the first packet of such a flow at each agent that does not know all flows of its target, up to flow_idle after its start | one at a time, or an eighth of them at once | after a restart of all agents beside running targets a full packet at every target for a flow that has ended: the targets of the address's services only, which needs earlier configurations to be known at a balancer's start |
+| return after a loss of power | one report of each agent at each balancer says that no earlier flow is left there; each ended flow is queried at each agent once or twice, 17 B, about 3 to a message | lookups wait for the reports, at most 1.5 s | the queries: still flows × agents, see lookups |
 | memory of a balancer | 12.3 MB by the sweep; an agent's entry and report take about 0.5 kB, 30 MB for 59,000 | maps | fits 256 MB |
 
 The first four rows are arithmetic on the intervals in internal/steer and internal/passnode; the entry of an agent is an
 estimate. The mechanisms of the product's own mode above (member records, digests, relays between data centres) carry these
 sizes; pass-through mode does not use them yet.
+
+A loss of power of all VMs in the simulation (` + "`" + `go test ./internal/steersim -run AllVMsLosePower -v` + "`" + `, 50 agents, 16 balancers,
+3,000 open flows, heartbeats every 0.77 s, three seeds):
+
+| | 79b34ba | with certainty from first calls |
+|---|---|---|
+| packets of ended flows sent to targets | 150,000, one for each flow and agent (seed 3) | 437 (seed 2) and 2,657 (seed 3); 384 and 2,613 with the last change of queries |
+| query entries for each flow and agent | 1.6 (seed 3) | 1.7 |
+| last caller reset after its first packet and the last start | 1.27 s (seed 3), 3.07 s (seed 1) | 0.89 s |
 `
