Evacuations of data centres by the operator

The highest reader of each data centre watches the evacuations and passes its view on in hellos at once; a view has the position, age and entries, and only a later one replaces it. A balancer whose view is older than 2.2 s lists them, at the rate limit of the other views. Balancers place no flow in an evacuated data centre, together with the drains of decision files, and agents refuse opening packets while their own is evacuated, so that a balancer that hears nobody opens no flow either. A new flow of a service without other targets is reset before it opens, with the reason 'evacuated'. After a restoration of the store, entries that it lost stay in effect and those that it brought back stay lifted. Switched on by the setting evacuation_bound.

The tests of steersim fail without the view (all) and without the refusal of agents (the one of a balancer that is cut off).

--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -50,6 +50,9 @@
 	// ConfigPrefix is the watched path prefix, ConfigPath the path of the configuration
 	// object under it.
 	ConfigPrefix, ConfigPath string
+	// EvacuationPrefix is the path prefix of the operator's evacuations of data centres, one
+	// object for each, named like it. Empty if there are none.
+	EvacuationPrefix string
 	// DecodeConfig decodes the content of the configuration object.
 	DecodeConfig func(content []byte) (*steer.Config, error)
 	Metrics      *telemetry.Metrics
@@ -81,6 +84,12 @@
 	confirmRequests  chan struct{} // signals that the configuration is to be confirmed
 	configAge        atomic.Int64  // of the configuration in effect, in milliseconds
 	decisionsAge     atomic.Int64  // of the decision files in effect, in milliseconds
+
+	evacuationWatcher  *readerRole
+	evacuationRequests chan struct{} // signals that the evacuations are to be listed
+	evacuations        atomic.Int64  // number of evacuated data centres
+	evacuationsAge     atomic.Int64  // of the view of them, in milliseconds
+
 	// listed holds the agents' objects in the listing that the core knows. Only the loop
 	// uses it.
 	listed map[netip.AddrPort]listedAgent
@@ -88,7 +97,7 @@
 
 // NewBalancer returns a balancer with its sockets bound.
 func NewBalancer(opts BalancerOptions) (*Balancer, error) {
-	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger, opts.Metrics), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1), decisionRequests: make(chan struct{}, 1)}
+	b := &Balancer{opts: opts, logWriter: newLogWriter(opts.Logger, opts.Metrics), sender: datagramSender{metrics: opts.Metrics}, fetchRequests: make(chan netip.AddrPort, 1), listRequests: make(chan struct{}, 1), decisionsListed: make(chan struct{}), removeRequests: make(chan removal, callQueue), reader: newReaderRole(), confirmRequests: make(chan struct{}, 1), decisionRequests: make(chan struct{}, 1), evacuationWatcher: newReaderRole(), evacuationRequests: make(chan struct{}, 1)}
 	b.loop = newLoop(opts.Metrics, b.logWriter)
 	b.loop.handleDatagram, b.loop.tick, b.loop.next = b.handleDatagram, b.tick, func() time.Time { return b.core.Next() }
 	now := time.Now()
@@ -97,6 +106,9 @@
 	starting := "starting"
 	b.unreadyReason.Store(&starting)
 	err := errors.Join(opts.Metrics.Gauge(GaugeConfigAge, b.configAge.Load), opts.Metrics.Gauge(GaugeDecisionsAge, b.decisionsAge.Load))
+	if opts.EvacuationPrefix != "" {
+		err = errors.Join(err, opts.Metrics.Gauge(GaugeEvacuations, b.evacuations.Load), opts.Metrics.Gauge(GaugeEvacuationsAge, b.evacuationsAge.Load))
+	}
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -126,6 +138,10 @@
 	g.Go(func() error { return b.fetchConfigs(gctx) })
 	g.Go(func() error { return b.watchConfig(gctx) })
 	g.Go(func() error { return b.watchDecisions(gctx) })
+	if b.opts.EvacuationPrefix != "" {
+		g.Go(func() error { return b.watchEvacuations(gctx) })
+		g.Go(func() error { return b.listEvacuations(gctx) })
+	}
 	g.Go(func() error {
 		return watchEpochs(gctx, b.opts.Store, func(epoch, _ uint64) {
 			_ = b.loop.call(gctx, func(now time.Time) { b.execute(now, b.core.SetStoreEpoch(now, epoch)) }) // fails only at shutdown
@@ -170,6 +186,7 @@
 	b.configAge.Store(b.core.ConfigAge(now).Milliseconds())
 	b.decisionsAge.Store(b.core.DecisionsAge(now).Milliseconds())
 	b.publishReadiness(now)
+	b.publishEvacuations(now)
 	if reads := b.core.ReadsStore(now); b.reader.set(reads) {
 		b.logWriter.enqueue(now, "store_reader", "reader", reads, "peers", b.core.Peers())
 	}
@@ -238,6 +255,11 @@
 			case b.decisionRequests <- struct{}{}:
 			default: // a listing is already due
 			}
+		case steer.ListEvacuations:
+			select {
+			case b.evacuationRequests <- struct{}{}:
+			default: // a listing is already due
+			}
 		case steer.ListAgents:
 			select {
 			case b.listRequests <- struct{}{}:
@@ -270,6 +292,7 @@
 	if e.Target.IsValid() {
 		f.addField("target", e.Target.String())
 	}
+	f.addText("datacentre", string(e.DataCentre))
 	if e.Incarnation != 0 {
 		f.addField("incarnation", e.Incarnation)
 	}
--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -46,6 +46,9 @@
 	case c.leaving || c.state == steerwire.TargetDraining || c.state == steerwire.TargetGone:
 		c.refuse(now, from, m, s, steerwire.ReasonDraining)
 		return
+	case c.evacuation.active:
+		c.refuse(now, from, m, s, steerwire.ReasonEvacuated)
+		return
 	case c.state == steerwire.TargetSilent:
 		c.refuse(now, from, m, s, steerwire.ReasonSilent)
 		return
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -219,7 +219,8 @@
 	registeredEpoch      uint64    // epoch of the store at that time
 	firstHello           time.Time // first hello of a balancer
 	lastHello            time.Time // last hello of any balancer
-	reportedDiscoverable bool      // value of discoverable in the last reports
+	evacuation           evacuation
+	reportedDiscoverable bool // value of discoverable in the last reports
 
 	flows             map[model.Flow]*flow
 	notHeld           map[model.Flow]time.Time // flows whose probe the target bounced
--- a/internal/passthrough/report.go
+++ b/internal/passthrough/report.go
@@ -29,6 +29,7 @@
 		c.actions = append(c.actions, Action{Kind: Register})
 	}
 	c.lastHello = now
+	c.recordEvacuation(now, h.Evacuations)
 	if h.Unlisted {
 		c.handleUnlisted(now, h.Epoch)
 	}
@@ -78,11 +79,12 @@
 		BusyCenti: int(c.load.average(now)*100 + 0.5), Flows: len(c.flows), TargetStartMillis: c.target.StartMillis,
 		FailingCenti: int(c.outcomes.FailureRate(now)*100 + 0.5),
 		Ended:        c.ended,
+		Evacuated:    c.evacuation.active,
 		Empty:        !c.mayHoldUnseen && len(c.flows) == 0 && c.state != steerwire.TargetReady,
 	}
 	switch {
 	case r.State != steerwire.TargetReady:
-	case c.leaving:
+	case c.leaving || c.evacuation.active:
 		r.State = steerwire.TargetDraining
 	case !c.discoverable(now):
 		r.State = steerwire.TargetUnknown
--- a/internal/steer/decisions.go
+++ b/internal/steer/decisions.go
@@ -130,12 +130,14 @@
 	return false
 }
 
-// override sets the drain and weight that the decision files give a target.
+// override sets the drain and weight that the decision files give a target. An evacuation of
+// its data centre drains it too.
 func (c *Core) override(t *target) {
 	t.override = config.Override{Weight: 1}
 	if c.decisions.Files != nil {
 		t.override = c.decisions.Files.Effective(t.report.DataCentre, t.report.Node)
 	}
+	t.override.Drain = t.override.Drain || c.evacuations.Evacuated(t.report.DataCentre)
 }
 
 // apply returns base with the addresses that services claim in decision files. An
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -93,8 +93,12 @@
 	if best == nil {
 		// The reset informs the caller at once that its request has not run, so that it
 		// can retry.
-		c.log(Entry{Event: "refused", Flow: key, Service: f.service, Reason: "no_target", Version: c.version(), Detail: int(f.ntried)})
-		c.reset(key, f.ack, "no_target")
+		reason := "no_target"
+		if c.evacuatedOnly(f.service) {
+			reason = "evacuated"
+		}
+		c.log(Entry{Event: "refused", Flow: key, Service: f.service, Reason: reason, Version: c.version(), Detail: int(f.ntried)})
+		c.reset(key, f.ack, reason)
 		delete(c.flows, key)
 		return
 	}
@@ -220,7 +224,7 @@
 		if f == nil {
 			return // the flow was dropped meanwhile
 		}
-		if t := c.targets[from]; t != nil && r.Reason != steerwire.ReasonFull {
+		if t := c.targets[from]; t != nil && r.Reason != steerwire.ReasonFull && r.Reason != steerwire.ReasonCold {
 			t.suspectUntil = now.Add(suspectDuration) // its next report ends this early
 		}
 		f.addRefused(from)
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/bulrushshelf/bulrushshelf/internal/evacuation"
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/pacing"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
@@ -127,6 +128,8 @@
 	// FullSegment is the maximum payload of a packet in bytes. A flow with such a packet
 	// is treated as a transfer; 0 disables this.
 	FullSegment int
+	// Evacuations is set if the operator may evacuate data centres.
+	Evacuations bool
 }
 
 // ActionKind is the type of an action.
@@ -150,6 +153,8 @@
 	FetchConfig
 	// ConfirmConfig reads the configuration from the store and then calls ConfigConfirmed.
 	ConfirmConfig
+	// ListEvacuations lists the operator's evacuations in the store.
+	ListEvacuations
 	// ListDecisions lists the decision files in the store.
 	ListDecisions
 	// Log writes Entry to the log.
@@ -180,14 +185,15 @@
 
 // Entry is a log entry about a decision.
 type Entry struct {
-	Event   string
-	Flow    model.Flow
-	Service model.ServiceName
-	Target  netip.AddrPort
-	Reason  string
-	Version int64         // configuration version in effect
-	Age     time.Duration // of the report used for the decision, or of the state that changed
-	Detail  int           // number of targets, agents, query attempts, routes or slots, depending on Event
+	Event      string
+	Flow       model.Flow
+	Service    model.ServiceName
+	Target     netip.AddrPort
+	Reason     string
+	Version    int64            // configuration version in effect
+	Age        time.Duration    // of the report used for the decision, or of the state that changed
+	Detail     int              // number of targets, agents, query attempts, routes or slots, depending on Event
+	DataCentre model.DataCentre // of an evacuation
 	// Incarnation is the one of the agent that the entry is about, 0 if it does not matter.
 	Incarnation model.Incarnation
 }
@@ -292,6 +298,8 @@
 	lastConfigFetch     time.Time // when FetchConfig was last issued
 	configAge           viewAge
 	decisionsAge        viewAge
+	evacuations         evacuation.View
+	evacuationsAge      viewAge
 	unconfirmedSince    time.Time // end of a pause after which the configuration is not confirmed yet
 	storeFailing        bool      // the last call to the store failed
 	store               storeHistory
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -199,6 +199,7 @@
 	t.lastHello = now
 	m := c.helloMessage(now, false)
 	m.Hello.Unlisted = c.unlisted(now, t)
+	m.Hello.Evacuations = c.evacuationsForAgent(t)
 	m.Hello.ID = c.nextHelloID
 	c.nextHelloID++
 	c.send(t.addr, m)
@@ -320,6 +321,7 @@
 	if asOf := asOfHello(now, h.DecisionsAgeMillis); h.Decisions == p.decisions.Revision && asOf.After(p.decisionsAsOf) {
 		p.decisionsAsOf = asOf
 	}
+	c.handleEvacuations(now, h.Evacuations)
 	p.lost, p.dataCentre, p.unresponsive, p.noStore = h.Lost, h.DataCentre, false, h.NoStore
 	for _, a := range h.Agents {
 		t := c.addAgent(now, a)
@@ -366,6 +368,7 @@
 	m.Hello.WantAgents = now.Sub(c.started) < startupPeriod
 	m.Hello.ConfigAgeMillis, m.Hello.DecisionsAgeMillis = c.configAge.millis(now), c.decisionsAge.millis(now)
 	m.Hello.NoStore = c.leaving || c.storeFailing
+	m.Hello.Evacuations = c.evacuationsForPeers(now)
 	for _, t := range c.targets {
 		if t.lost(now) && len(m.Hello.Lost) < steerwire.MaxPeers {
 			m.Hello.Lost = append(m.Hello.Lost, t.addr)
--- a/internal/steer/viewage.go
+++ b/internal/steer/viewage.go
@@ -119,24 +119,28 @@
 
 // confirmStaleViews requests reads of the store while views are stale.
 func (c *Core) confirmStaleViews(now time.Time) {
-	if c.confirmDue(now, &c.configAge, configAgeLimit, "configuration_stale") {
+	reads := c.ReadsStore(now)
+	if c.confirmDue(now, &c.configAge, configAgeLimit, "configuration_stale", reads) {
 		c.actions = append(c.actions, Action{Kind: ConfirmConfig})
 	}
-	if c.confirmDue(now, &c.decisionsAge, decisionsAgeLimit, "decisions_stale") {
+	if c.confirmDue(now, &c.decisionsAge, decisionsAgeLimit, "decisions_stale", reads) {
 		c.actions = append(c.actions, Action{Kind: ListDecisions})
 	}
+	if c.confirmDue(now, &c.evacuationsAge, evacuationsAgeLimit, "evacuations_stale", c.WatchesEvacuations(now)) {
+		c.actions = append(c.actions, Action{Kind: ListEvacuations})
+	}
 }
 
-// confirmDue reports whether a stale view is to be read from the store now. Readers need no
-// further read, because they watch or list it anyway.
-func (c *Core) confirmDue(now time.Time, v *viewAge, limit time.Duration, event string) bool {
+// confirmDue reports whether a stale view is to be read from the store now. A balancer that
+// watches or lists it anyway needs no further read.
+func (c *Core) confirmDue(now time.Time, v *viewAge, limit time.Duration, event string, watches bool) bool {
 	age := v.age(now)
 	if age < limit {
 		return false
 	}
 	if v.nextConfirm.IsZero() {
 		c.log(Entry{Event: event, Age: age})
-	} else if !c.ReadsStore(now) {
+	} else if !watches {
 		if now.Before(v.nextConfirm) {
 			return false
 		}
--- a/internal/steersim/extras_test.go
+++ b/internal/steersim/extras_test.go
@@ -33,6 +33,7 @@
 	lookupRestarts bool // agents restart when a balancer queries them
 	routeMoves     bool // addresses lead to another service for a time
 	allRestart     bool // all agents restart at once
+	evacuations    bool // data centres are evacuated and taken back
 	reopenings     bool // addresses and ports of closed flows are opened again
 }
 
@@ -74,6 +75,14 @@
 		e := historyEvent{"route moves", 8 * time.Second, h.moveRouteForATime}
 		out = append(out, e, e)
 	}
+	if h.extra.evacuations {
+		e := historyEvent{"evacuation", 20 * time.Second, func() {
+			dc := model.DataCentre(fmt.Sprintf("dc-%d", h.rand.IntN(3)))
+			h.evacuate(dc)
+			h.after(200*time.Millisecond+h.randomUpTo(20*time.Second), func() { h.takeBack(dc) })
+		}}
+		out = append(out, e, e, e)
+	}
 	if h.extra.allRestart {
 		out = append(out, historyEvent{"all agents restart", 4 * time.Second, func() {
 			for _, a := range h.agents {
--- a/internal/steersim/network_test.go
+++ b/internal/steersim/network_test.go
@@ -50,6 +50,7 @@
 	formerTargets     []*target                                               // targets that others followed at their addresses
 	stalled           int                                                     // requests on open flows of running targets that got no answer in time
 	uncounted         int                                                     // resets and misdirections of open flows that the rule does not count
+	edit              func(from, to netip.AddrPort, m *steerwire.Message)     // changes messages; nil for none
 }
 
 type listingSnapshot struct {
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -79,7 +79,8 @@
 	listings      int                            // listings of the agents that the store served
 	confirms      int                            // reads of the configuration beside the watches
 	watches       int                            // configurations that the store sent to balancers
-	registrations int                            // objects that agents have written again
+	evacuations   evacuationStore
+	registrations int // objects that agents have written again
 	port          uint16
 	started       time.Time
 
@@ -99,7 +100,7 @@
 		cut:      func(netip.AddrPort, netip.AddrPort) bool { return false },
 		storeCut: func(netip.AddrPort) bool { return false }, clockOffset: map[netip.Addr]time.Duration{},
 	}
-	s.started, s.epoch = s.now, storeapi.FirstEpoch
+	s.started, s.epoch, s.evacuations = s.now, storeapi.FirstEpoch, newEvacuationStore()
 	s.config = &steer.Config{Revision: 1, Version: 1, IdleTimeout: 15 * time.Second, Routes: map[netip.AddrPort]steer.Route{}}
 	var names []string
 	for n := range services {
@@ -192,6 +193,9 @@
 	if s.rand.Float64() < s.loss || s.cut(from, to) || s.drop != nil && s.drop(from, to, m) {
 		return
 	}
+	if s.edit != nil {
+		s.edit(from, to, &m)
+	}
 	b, err := steerwire.Append(nil, m)
 	if err != nil {
 		s.t.Fatal(err)
@@ -237,8 +241,11 @@
 	lastRead        *steer.Config // last configuration read from the store
 	lastListing     time.Time     // of the agents, as a reader
 	lastWatchEnd    time.Time     // when a call of the watch last ended
-	removed         bool          // for good
-	timer           timer
+
+	evacuationsRead     storeapi.Position // position of the last evacuations read as the watcher
+	lastEvacuationsRead time.Time
+	removed             bool // for good
+	timer               timer
 }
 
 func (s *sim) addBalancer() *balancer {
@@ -253,12 +260,14 @@
 	s := b.s
 	b.core = steer.New(s.clock(b.addr), steer.Options{
 		Node: model.NodeID("b" + b.addr.String()), Incarnation: model.Incarnation(s.timeOfDay(b.addr)),
-		DataCentre: dataCentreOf(b.addr), Seed: s.rand.Uint64(), FlowTTL: time.Minute, Peer: b.addr,
+		DataCentre: dataCentreOf(b.addr), Seed: s.rand.Uint64(), FlowTTL: time.Minute, Peer: b.addr, Evacuations: true,
 	})
 	b.core.AddSeeds(s.clock(b.addr), s.seeds())
 	if !s.storeCut(b.addr) {
 		b.readStore(b.core)
+		b.readEvacuations(b.core)
 	}
+	b.evacuationsRead = storeapi.Position{}
 	b.lastStoreAnswer = s.now
 	b.tick(b.core)
 	b.watch(b.core)
@@ -290,6 +299,7 @@
 		}
 		core.SetStoreReachable(s.now.Sub(b.lastStoreAnswer) < storeFailureTime)
 	}
+	b.watchEvacuations(core)
 	s.after(storePoll, func() { s.whenAwake(b.addr, func() { b.watch(core) }) })
 }
 
@@ -352,6 +362,8 @@
 			b.fetchConfig(a.To)
 		case steer.ConfirmConfig:
 			b.confirmConfig()
+		case steer.ListEvacuations:
+			b.readEvacuations(b.core)
 		case steer.ListDecisions: // there are no decision files
 		case steer.Log:
 			if a.Entry.Event == "probed" {
--- a/internal/steersim/target_test.go
+++ b/internal/steersim/target_test.go
@@ -103,6 +103,7 @@
 	}
 	if g.Opens() && h == nil {
 		s.checkOpeningFollowsRoutes(g, t)
+		s.checkEvacuation(a, g)
 	}
 	switch {
 	case g.Opens():
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -72,10 +72,19 @@
 	ReasonNotHeld                        // the target does not hold the flow
 	ReasonLost                           // the target held the flow and no longer does
 	ReasonOtherFlow                      // the target holds another flow of the same addresses and ports
+
+	ReasonEvacuated Reason = 20 // the data centre of the target is evacuated
+	ReasonCold      Reason = 21 // the target is cold and has got as many flows as it bears
 )
 
 // String returns the reason as used in logs and counters.
 func (r Reason) String() string {
+	switch r {
+	case ReasonEvacuated:
+		return "evacuated"
+	case ReasonCold:
+		return "cold"
+	}
 	names := [...]string{"none", "wrong_service", "draining", "unready", "silent", "full", "not_held", "lost", "other_flow"}
 	if int(r) < len(names) {
 		return names[r]
@@ -219,6 +228,11 @@
 	// ID increases with each hello of the sending process to an agent. The first one is
 	// random, so that the IDs of successive processes differ.
 	ID uint64 `cbor:"17,keyasint,omitzero"`
+	// Evacuations is nil if the sender has no view that others may rely on.
+	Evacuations *Evacuations `cbor:"20,keyasint,omitempty"`
+	// ColdFlowsPerSecond is the rate of new flows that a cold target of the receiving agent's
+	// service bears, 0 for any. Sent to agents.
+	ColdFlowsPerSecond float64 `cbor:"21,keyasint,omitzero"`
 }
 
 // ListingQuery asks a store reader for a listing that starts after the receipt of the query.
@@ -284,6 +298,9 @@
 	// HelloID is the ID of the receiver's last hello, 0 if the agent has received none. It
 	// is nil in the reports of agents of an earlier release.
 	HelloID *uint64 `cbor:"16,keyasint,omitempty"`
+	// Evacuated is set if the agent refuses new flows because its data centre is evacuated.
+	// The state is TargetDraining then.
+	Evacuated bool `cbor:"20,keyasint,omitzero"`
 	// CertainInMillis is the time until the agent expects to know all flows of its target. It
 	// is 0 if the agent knows them, or has no reason to expect so before the idle timeout.
 	CertainInMillis int `cbor:"25,keyasint,omitzero"`
