A process outlives the reader of its log

Cause: a Go program that writes to a closed pipe on standard output or error is ended by SIGPIPE unless it ignores the signal.

Evidence: TestLogOfReaderThatIsGone runs itself with a closed pipe as standard output; without the change it ends with "signal: broken pipe".

Change: NewProcessLogger ignores SIGPIPE. The write fails, the lines are counted as write_failed in log_lines_dropped, and the process goes on.

--- a/internal/telemetry/logqueue.go
+++ b/internal/telemetry/logqueue.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"io"
 	stdlog "log"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -152,8 +154,10 @@
 
 // NewProcessLogger returns the logger of a process, which writes JSON lines to w without
 // ever blocking, and a function that flushes it before the process ends. Messages of the
-// standard library go to the same log. Dropped lines are counted and logged.
+// standard library go to the same log. Dropped lines are counted and logged. The process
+// outlives the reader of its log: a write to a closed pipe fails in place of ending it.
 func NewProcessLogger(w io.Writer, level, process, node string, metrics *Metrics) (*log.Logger, func(), error) {
+	signal.Ignore(syscall.SIGPIPE)
 	q := NewLogQueue(w, func(reason string, lines int) { metrics.Count(CounterLogDropped, reason, int64(lines)) })
 	logger, err := NewLogger(q, level, process, node)
 	if err != nil {
--- a/internal/telemetry/logqueue_test.go
+++ b/internal/telemetry/logqueue_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -49,6 +50,9 @@
 	is.Equal(uint64(strings.Count(string(text), `"msg":"line"`)), lines-dropped) // whole lines, once each
 }
 
+// withoutReader is set in the process that logs to a closed pipe.
+const withoutReader = "TELEMETRY_TEST_WITHOUT_READER"
+
 func TestLogTellsOfDroppedLines(t *testing.T) {
 	is := is.New(t)
 	metrics, err := NewMetrics("test")
@@ -67,14 +71,22 @@
 	flush()
 }
 
+// The pipe of standard output is closed at its other end.
 func TestLogOfReaderThatIsGone(t *testing.T) {
 	is := is.New(t)
+	if os.Getenv(withoutReader) == "" {
+		r, w, err := os.Pipe()
+		is.NoErr(err)
+		is.NoErr(r.Close())
+		defer w.Close()
+		cmd := exec.Command(os.Args[0], "-test.run=^TestLogOfReaderThatIsGone$")
+		cmd.Env, cmd.Stdout = append(os.Environ(), withoutReader+"=1"), w
+		is.NoErr(cmd.Run())
+		return
+	}
 	metrics, err := NewMetrics("test")
 	is.NoErr(err)
-	r, w, err := os.Pipe()
-	is.NoErr(err)
-	is.NoErr(r.Close())
-	logger, flush, err := NewProcessLogger(w, "info", "test", "node-1", metrics)
+	logger, flush, err := NewProcessLogger(os.Stdout, "info", "test", "node-1", metrics)
 	is.NoErr(err)
 	logger.Info("line")
 	flush()
