A bound on the new flows of a cold target

A target that has just started, or a data centre that is taken back, got as many new flows as balancers placed, each by its own count. The agent is the one place that all pass: in any second it lets through cold_factor x the service's rate + cold_slack new flows while its target is cold, and refuses the others, which are placed elsewhere with the next packet. The rate comes from the configuration with hellos; no rate or 0 sets no bound.

--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -58,6 +58,9 @@
 	case now.Before(c.fullUntil) || len(c.flows) >= maxFlows:
 		c.refuse(now, from, m, s, steerwire.ReasonFull)
 		return
+	case !c.coldAdmits(now):
+		c.refuse(now, from, m, s, steerwire.ReasonCold)
+		return
 	}
 	c.flows[s.Flow] = &flow{phase: phaseOpening, balancer: from, createdAt: now, lastSeen: now, callerNextSeq: s.Seq + 1, mayPredate: c.mayHoldUnseen}
 	c.deliveredOpenings = append(c.deliveredOpenings, deliveredPacket{flow: s.Flow, deliveredAt: now})
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -12,6 +12,7 @@
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/outcome"
+	"github.com/bulrushshelf/bulrushshelf/internal/pacing"
 	"github.com/bulrushshelf/bulrushshelf/internal/schedule"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
@@ -81,6 +82,7 @@
 	// FullSegment is the maximum data length of a packet. A request continues after a
 	// full packet and is complete with a shorter one; until then it takes no slot.
 	FullSegment int
+	Cold        ColdLimit
 	FirstStart  bool // first start of the deployment, so the target holds no flows
 }
 
@@ -203,6 +205,7 @@
 	otherStart         otherStart
 	firstCall          firstCall
 	coldUntil          time.Time
+	cold               coldGate
 	fullUntil          time.Time
 	unansweredOpenings int // consecutive opening packets without an answer
 	// bouncedOpenings counts consecutive bounced opening packets. A target that accepts no
@@ -273,7 +276,7 @@
 	return &Core{
 		opts: opts, started: now, targetLastSeen: now, mayHoldUnseen: !opts.FirstStart,
 		flows: make(map[model.Flow]*flow), notHeld: make(map[model.Flow]time.Time), balancers: make(map[netip.AddrPort]receivedHello),
-		load: load{updated: now},
+		load: load{updated: now}, cold: coldGate{recent: pacing.NewWindow(coldWindow)},
 	}
 }
 
--- a/internal/passthrough/report.go
+++ b/internal/passthrough/report.go
@@ -30,6 +30,7 @@
 	}
 	c.lastHello = now
 	c.recordEvacuation(now, h.Evacuations)
+	c.recordColdRate(h)
 	if h.Unlisted {
 		c.handleUnlisted(now, h.Epoch)
 	}
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -49,7 +49,9 @@
 	HeartbeatAddr     netip.AddrPort // TCP; the target sends its heartbeats to it
 	HeartbeatInterval time.Duration
 	FlowIdleTimeout   time.Duration
-	FirstStart        bool // the whole deployment starts for the first time: no flows are open
+	ColdFactor        float64 // of the rate of a cold target
+	ColdSlack         float64 // new flows
+	FirstStart        bool    // the whole deployment starts for the first time: no flows are open
 }
 
 const (
@@ -59,6 +61,8 @@
 	maxEvacuationBound   = time.Hour
 	maxPort              = 65_535
 	maxLinkMbps          = 1_000_000
+	maxColdFactor        = 1000
+	maxColdSlack         = 1_000_000
 )
 
 // specs returns the settings that balancers and agents share, then those in more.
@@ -94,6 +98,8 @@
 		spec{Field{Name: "heartbeat_address", Type: addrType, Required: true, Doc: "TCP address to which the target sends heartbeats."}, yamlText, decodeAddress(&a.HeartbeatAddr)},
 		spec{Field{Name: "heartbeat_interval", Type: "duration", Range: "0s to 1m", Default: "1s", Doc: "Interval of the target's heartbeats."}, yamlText, decodeDuration(&a.HeartbeatInterval, maxHeartbeatInterval)},
 		spec{Field{Name: "flow_idle", Type: "duration", Range: "0s to 24h", Default: "60s", Doc: "Time without packets after which the entry of a flow is dropped."}, yamlText, decodeDuration(&a.FlowIdleTimeout, maxFlowTimeout)},
+		spec{Field{Name: "cold_factor", Type: "number", Range: "0 to 1000", Default: "0", Doc: "A cold target gets at most cold_factor times the rate that its service bears, plus cold_slack, new flows in any second; 0 for both sets no bound."}, yamlScalar, decodeFloat(&a.ColdFactor, 0, maxColdFactor)},
+		spec{Field{Name: "cold_slack", Type: "number", Range: "0 to 1000000", Default: "0", Doc: "New flows that a cold target gets in any second beyond its rate."}, yamlScalar, decodeFloat(&a.ColdSlack, 0, maxColdSlack)},
 		spec{Field{Name: "first_start", Type: "true or false", Default: "false", Doc: "Set when the whole deployment starts for the first time, so that no target has open flows yet."}, yamlScalar, decodeBool(&a.FirstStart)},
 	)
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -227,6 +227,8 @@
 	// configurations, also across a restoration of the store.
 	Version int64
 	Routes  map[netip.AddrPort]Route
+	// ColdFlowsPerSecond are the rates of new flows that cold targets of services bear, 0 for any.
+	ColdFlowsPerSecond map[model.ServiceName]float64
 	// IdleTimeout is the time without packets after which a flow's entry expires.
 	IdleTimeout time.Duration
 }
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -200,6 +200,11 @@
 	m := c.helloMessage(now, false)
 	m.Hello.Unlisted = c.unlisted(now, t)
 	m.Hello.Evacuations = c.evacuationsForAgent(t)
+	if c.base != nil {
+		if rate, ok := c.base.ColdFlowsPerSecond[t.report.Service]; ok {
+			m.Hello.ColdFlowsPerSecond = &rate
+		}
+	}
 	m.Hello.ID = c.nextHelloID
 	c.nextHelloID++
 	c.send(t.addr, m)
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -231,8 +231,8 @@
 	// Evacuations is nil if the sender has no view that others may rely on.
 	Evacuations *Evacuations `cbor:"20,keyasint,omitempty"`
 	// ColdFlowsPerSecond is the rate of new flows that a cold target of the receiving agent's
-	// service bears, 0 for any. Sent to agents.
-	ColdFlowsPerSecond float64 `cbor:"21,keyasint,omitzero"`
+	// service bears, 0 for any, and nil if the configuration tells none. Sent to agents.
+	ColdFlowsPerSecond *float64 `cbor:"21,keyasint,omitempty"`
 }
 
 // ListingQuery asks a store reader for a listing that starts after the receipt of the query.
