ctl explains an evacuation; golden messages of its fields

explain of a data centre or a target said nothing about the operator's evacuation that keeps new flows from it. It lists the evacuations now, and finds the data centre of a target by the agents' objects, which name node and data centre.

The golden datagrams of before are unchanged.

--- a/internal/ctl/base.go
+++ b/internal/ctl/base.go
@@ -19,6 +19,9 @@
 	Transport http.RoundTripper
 	// BasePath is the store path of the operator's configuration; empty if there is none.
 	BasePath string
+	// EvacuationPrefix is the store path prefix of the operator's evacuations of data centres;
+	// empty if there are none.
+	EvacuationPrefix string
 	// DecodeBase decodes that object.
 	DecodeBase func(content []byte) (*steer.Config, error)
 }
--- a/internal/ctl/local.go
+++ b/internal/ctl/local.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/config"
+	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/steer"
 )
 
@@ -89,6 +90,9 @@
 	// Base holds the addresses that the operator's configuration assigns to a service.
 	// Decision files override it.
 	Base []baseAddress `json:"base,omitempty"`
+	// Evacuated is the data centre that the operator has evacuated, so that the target or the
+	// targets in it get no new flows. Empty if there is none.
+	Evacuated model.DataCentre `json:"evacuated,omitempty"`
 }
 
 // explainName explains every subject with the given name.
@@ -123,6 +127,9 @@
 			a.printf("    overrode %s from %s:%d:%d\n", o.Value, o.File, o.At.Line, o.At.Column)
 		}
 	}
+	if e.Evacuated != "" {
+		a.printf("  no new flows: data centre %s is evacuated by the operator\n", e.Evacuated)
+	}
 	for _, b := range e.Base {
 		a.printf("  %-20s %-32s operator's configuration, version %d\n", "address:", fmt.Sprintf("%s, weight %d of %d", b.Address, b.Weight, b.Total), b.Version)
 		if b.File != "" {
@@ -168,6 +175,7 @@
 func (c *explainCommand) Execute([]string) error {
 	var s *config.Snapshot
 	var base *steer.Config
+	var evacuated *explanation
 	if c.Dir != "" {
 		files, err := readFolder(c.Dir)
 		if err != nil {
@@ -183,6 +191,9 @@
 		if base, err = c.loadBase(); err != nil {
 			return err
 		}
+		if evacuated, err = c.explainEvacuation(c.Args.Name); err != nil {
+			return err
+		}
 	}
 	for _, f := range s.Findings() {
 		c.warnf("%s", f)
@@ -194,6 +205,7 @@
 		}
 		explanations[0].Base = addrs
 	}
+	explanations = withEvacuation(explanations, evacuated)
 	if len(explanations) == 0 {
 		return exitErrorf(ExitRefused, "no decision names %q", c.Args.Name)
 	}
--- a/internal/passnode/agent.go
+++ b/internal/passnode/agent.go
@@ -225,7 +225,7 @@
 
 // writeObject retries the write of the agent's object until it succeeds.
 func (a *Agent) writeObject(ctx context.Context) error {
-	content, err := json.Marshal(agentObject{Peer: a.opts.PeerAddr, Incarnation: a.opts.Core.Incarnation})
+	content, err := json.Marshal(AgentObject{Peer: a.opts.PeerAddr, Incarnation: a.opts.Core.Incarnation, Node: a.opts.Core.Node, DataCentre: a.opts.Core.DataCentre})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/passnode/objects.go
+++ b/internal/passnode/objects.go
@@ -12,15 +12,18 @@
 	"github.com/bulrushshelf/bulrushshelf/internal/storeclient"
 )
 
-// agentsPrefix is the path prefix of the agents' objects in the store.
-const agentsPrefix = "agents/"
+// AgentsPrefix is the path prefix of the agents' objects in the store.
+const AgentsPrefix = "agents/"
 
-// agentObject is an agent's object in the store.
-type agentObject struct {
+// AgentObject is an agent's object in the store.
+type AgentObject struct {
 	Peer netip.AddrPort `json:"peer"`
 	// Incarnation makes the object of each start differ, so that a delayed removal by a
 	// previous incarnation fails on the version.
 	Incarnation model.Incarnation `json:"incarnation"`
+	// Node and DataCentre are empty in the objects of agents of an earlier release.
+	Node       model.NodeID     `json:"node,omitempty"`
+	DataCentre model.DataCentre `json:"datacentre,omitempty"`
 }
 
 // removal is the order to remove an agent's object. The version makes it fail if the
@@ -62,20 +65,20 @@
 
 // agentPath returns the path of an agent's object.
 func agentPath(peer netip.AddrPort) string {
-	return agentsPrefix + strings.ReplaceAll(peer.String(), ":", "-")
+	return AgentsPrefix + strings.ReplaceAll(peer.String(), ":", "-")
 }
 
 // readAgents returns the listed agents and their objects. The listing may be stale
 // unless fresh is set.
 func (b *Balancer) readAgents(ctx context.Context, fresh bool) (steer.AgentListing, map[netip.AddrPort]listedAgent, error) {
-	l, err := b.listStore(ctx, agentsPrefix, fresh)
+	l, err := b.listStore(ctx, AgentsPrefix, fresh)
 	if err != nil {
 		return steer.AgentListing{}, nil, err
 	}
 	out := steer.AgentListing{Epoch: l.Position.Epoch}
 	listed := make(map[netip.AddrPort]listedAgent, len(l.Objects))
 	for _, o := range l.Objects {
-		var a agentObject
+		var a AgentObject
 		if json.Unmarshal(o.Content, &a) != nil || !a.Peer.IsValid() {
 			b.opts.Metrics.Count(CounterMalformed, "agent_object", 1) // skipped; the other objects are used
 			continue
--- a/internal/steerwire/steerwire_test.go
+++ b/internal/steerwire/steerwire_test.go
@@ -33,6 +33,10 @@
 		{Kind: KindListingQuery, ListingQuery: ListingQuery{ID: 8}},
 		{Kind: KindListing, Listing: Listing{ID: 8, Part: 1, Parts: 2, Agents: []netip.AddrPort{flow.Src}}},
 		{Kind: KindHello, Hello: Hello{Node: "b", Incarnation: 1, DataCentre: "dc", NoStore: true}},
+		{Kind: KindHello, Hello: Hello{Node: "b", Incarnation: 1, ColdFlowsPerSecond: new(float64), Evacuations: &Evacuations{
+			Epoch: 1, Revision: 7, AgeMillis: 40, Entries: []EvacuationEntry{{DataCentre: "dc", Version: 6}, {DataCentre: "dc2", Version: 5, Lifted: true}, {DataCentre: "dc3", Missing: true}},
+		}}},
+		{Kind: KindReport, Report: Report{Node: "a", Incarnation: 1, Sequence: 2, Service: "s", State: TargetDraining, Evacuated: true}},
 	}
 }
 
