--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -86,7 +86,7 @@
 		spec{Field{Name: "flow_ttl", Type: "duration", Range: "0s to 24h", Default: "60s", Doc: "Time without packets after which the entry of a flow may be dropped while no configuration sets an idle timeout."}, yamlText, decodeDuration(&b.FlowTTL, maxFlowTimeout)},
 		spec{Field{Name: "stop_grace", Type: "duration", Range: "0s to 1h", Default: "6s", Doc: "Time from SIGTERM until the platform kills the process."}, yamlText, decodeDuration(&b.StopGrace, maxStopGrace)},
 		spec{Field{Name: "link_mbps", Type: "number", Range: "0 to 1000000", Default: "0", Doc: "Rate of the VM's link in Mbit/s, of which uploads may use 70%; 0 sets no limit."}, yamlScalar, decodeFloat(&b.LinkMbps, 0, maxLinkMbps)},
-		spec{Field{Name: "evacuation_bound", Type: "duration", Range: "0s to 1h", Default: "0s", Doc: "Time within which the operator's evacuation of a data centre must be in effect; 0s if the operator evacuates none. Evacuations take 4 s at most while the store answers."}, yamlText, decodeDuration(&b.EvacuationBound, maxEvacuationBound)},
+		spec{Field{Name: "evacuation_bound", Type: "duration", Range: "0s to 1h", Default: "0s", Doc: "Time within which the operator's evacuation of a data centre must be in effect; 0s if the operator evacuates none."}, yamlText, decodeDuration(&b.EvacuationBound, maxEvacuationBound)},
 	)
 }
 
