--- a/internal/passthrough/requests.go
+++ b/internal/passthrough/requests.go
@@ -29,6 +29,9 @@
 	requestTimeWeight = 0.05
 )
 
+// slotLimit returns the number of requests that the target may have.
+func (c *Core) slotLimit() int { return c.target.Slots + extraRequests }
+
 // hasNewData reports whether a packet of the caller carries data not seen before.
 func (f *flow) hasNewData(s segment.Segment) bool {
 	return s.DataLen > 0 && int32(s.Seq+uint32(s.DataLen)-f.callerNextSeq) > 0
@@ -47,7 +50,7 @@
 	case f.buffered != nil && s.DataLen == 0:
 		return false
 	case f.buffered != nil:
-	case f.requestActive || f.inTransfer || s.DataLen >= c.opts.FullSegment || !f.hasNewData(s) || c.load.requests < c.target.Slots+extraRequests:
+	case f.requestActive || f.inTransfer || s.DataLen >= c.opts.FullSegment || !f.hasNewData(s) || c.load.requests < c.slotLimit():
 		return false
 	default:
 		c.queue.Add(schedule.Request{
@@ -76,7 +79,7 @@
 
 // startWaitingRequests delivers waiting requests as long as slots are free, and at least n.
 func (c *Core) startWaitingRequests(now time.Time, n int) {
-	for ; c.queue.Len() > 0 && (n > 0 || c.load.requests < c.target.Slots+extraRequests); n-- {
+	for ; c.queue.Len() > 0 && (n > 0 || c.load.requests < c.slotLimit()); n-- {
 		r, ok := c.queue.Next(now, c.meanRequestTime)
 		if !ok {
 			return
