--- a/internal/strategy/leastload/leastload.go
+++ b/internal/strategy/leastload/leastload.go
@@ -27,24 +27,36 @@
 	Busy        float64 // average number of requests in progress, running or queued
 	Flows       int     // open flows
 	Assigned    float64 // flows assigned since Busy and Flows were reported
-	Cold        bool    // started recently and still slow
+	Cold        bool    // started recently and still slow; not used if Speed is known
+	Speed       float64 // work per slot, as a multiple of the service's median; 0 if unknown
 	Remote      bool    // in a data centre other than the caller's
 	FailureRate float64 // share of recent requests that failed, 0 to 1
 }
 
+// work returns the work in progress per unit of time, in requests in progress at a target
+// of the median speed. A target that is twice as slow has twice the requests in progress.
+func (c Candidate) work() float64 {
+	if c.Speed > 0 {
+		return c.Busy * c.Speed
+	}
+	return c.Busy
+}
+
 // Cost returns the estimated load per slot of a target after one more flow is
-// assigned to it. flowShare is the service's average number of requests in progress
-// per open flow. It accounts for flows that were idle when the target reported.
+// assigned to it. flowShare is the service's average work in progress per open flow. It accounts for flows that were idle when the target reported.
 func Cost(c Candidate, flowShare float64) float64 {
 	if c.Slots <= 0 {
 		c.Slots = 1
 	}
-	expected := (c.Busy + flowShare*float64(c.Flows)) / 2
+	expected := (c.work() + flowShare*float64(c.Flows)) / 2
 	cost := (expected + (c.Assigned+1)*assignedShare) / float64(c.Slots)
 	if c.Weight > 0 {
 		cost /= c.Weight
 	}
-	if c.Cold {
+	switch {
+	case c.Speed > 0:
+		cost /= c.Speed
+	case c.Cold:
 		cost *= coldSlowdown
 	}
 	if c.Remote {
@@ -60,7 +72,7 @@
 	flows, busy := 0, 0.0
 	for _, c := range cands {
 		flows += c.Flows
-		busy += c.Busy
+		busy += c.work()
 	}
 	share := 0.0
 	if flows > 0 {
