agents and balancers: place flows by measured speed with the setting pace

What is known of a target was its slots, its load and the warm-up that it announces; requests that wait at its agent were not reported as load.

Change: with the setting pace (off by default, for balancers and agents) agents feed internal/pace from the requests and answers that pass, and report service times by class and waiting requests (report keys 35 to 37). Balancers compare the targets of a service every 250 ms and place by speed in place of coldSlowdown; coldSlotFraction gives way to the speed where it is known. A stall is reported at once. Answers too quick to be ones count as failures of the target. Metrics steer_pace_changes, passnode_capacity_centislots, passthrough_service_seconds, log line pace. Without the setting, or with an agent of an earlier build, placement is as before.

--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -84,6 +84,7 @@
 	confirmRequests  chan struct{} // signals that the configuration is to be confirmed
 	configAge        atomic.Int64  // of the configuration in effect, in milliseconds
 	decisionsAge     atomic.Int64  // of the decision files in effect, in milliseconds
+	capacity         capacityGauge
 
 	evacuationWatcher  *readerRole
 	evacuationRequests chan struct{} // signals that the evacuations are to be listed
@@ -105,7 +106,7 @@
 	b.core.AddSeeds(now, opts.Core.Seeds)
 	starting := "starting"
 	b.unreadyReason.Store(&starting)
-	err := errors.Join(opts.Metrics.Gauge(GaugeConfigAge, b.configAge.Load), opts.Metrics.Gauge(GaugeDecisionsAge, b.decisionsAge.Load))
+	err := errors.Join(opts.Metrics.Gauge(GaugeConfigAge, b.configAge.Load), opts.Metrics.Gauge(GaugeDecisionsAge, b.decisionsAge.Load), b.capacity.register(opts))
 	if opts.EvacuationPrefix != "" {
 		err = errors.Join(err, opts.Metrics.Gauge(GaugeEvacuations, b.evacuations.Load), opts.Metrics.Gauge(GaugeEvacuationsAge, b.evacuationsAge.Load))
 	}
@@ -185,6 +186,7 @@
 	b.execute(now, b.core.Tick(now))
 	b.configAge.Store(b.core.ConfigAge(now).Milliseconds())
 	b.decisionsAge.Store(b.core.DecisionsAge(now).Milliseconds())
+	b.capacity.update(now, b.core)
 	b.publishReadiness(now)
 	b.publishEvacuations(now)
 	if reads := b.core.ReadsStore(now); b.reader.set(reads) {
--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/pace"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
 )
@@ -100,6 +101,7 @@
 		f.confirmedHeld = true
 	}
 	f.phase, f.lastSeen, f.balancer = phaseEstablished, now, from
+	f.class = pace.Class(m.Terms.Class())
 	if c.bufferIfNoSlot(now, f, m, s) {
 		return
 	}
@@ -120,6 +122,7 @@
 		if !f.requestActive && !f.inTransfer {
 			f.requestActive, f.countedFailed, f.requestStart = true, false, now
 			c.load.adjust(now, 1)
+			c.startWork(now, f)
 		}
 	}
 	if s.Flags.Has(segment.FIN) {
@@ -141,6 +144,7 @@
 	if f.requestActive {
 		f.requestActive = false
 		c.load.adjust(now, -1)
+		c.endWork(now, f, pace.Abandoned)
 	}
 }
 
@@ -200,13 +204,10 @@
 			f.sent.estimated, f.sent.end = true, s.Seq+maxAckAdvance // the answer may be to a late copy
 		}
 		f.confirmedHeld = f.confirmedHeld || f.phase == phaseEstablished && !s.Accepts()
-		if f.requestActive && (s.DataLen > 0 || s.Flags.Has(segment.RST)) {
-			c.recordOutcome(now, s.Flow, f, s.DataLen == 0)
-		}
-		if s.DataLen > 0 && f.requestActive {
-			c.recordRequestTime(now.Sub(f.requestStart))
-			c.observe(LatencyRequest, "answered", now.Sub(f.requestStart))
-			c.endRequest(now, f)
+		if f.requestActive && s.DataLen > 0 {
+			c.handleAnswer(now, s.Flow, f)
+		} else if f.requestActive && s.Flags.Has(segment.RST) {
+			c.recordFailure(now, s.Flow, f, "reset")
 		}
 		f.targetFIN = f.targetFIN || s.Flags.Has(segment.FIN)
 		if s.Flags.Has(segment.RST) || f.callerFIN && f.targetFIN {
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -12,6 +12,7 @@
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
 	"github.com/bulrushshelf/bulrushshelf/internal/outcome"
+	"github.com/bulrushshelf/bulrushshelf/internal/pace"
 	"github.com/bulrushshelf/bulrushshelf/internal/pacing"
 	"github.com/bulrushshelf/bulrushshelf/internal/schedule"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
@@ -84,6 +85,8 @@
 	FullSegment int
 	Cold        ColdLimit
 	FirstStart  bool // first start of the deployment, so the target holds no flows
+	// Pace makes the agent measure the service times of its target and report them.
+	Pace bool
 }
 
 // ActionKind is the type of an action.
@@ -186,6 +189,8 @@
 	// acknowledged its answer, or the target sent a packet of the flow.
 	confirmedHeld bool
 	requestStart  time.Time // delivery of the active request
+	class         pace.Class
+	work          uint64 // ID of the active request in the pace tracker
 	// buffered holds the packets of a request that waits for a slot, bufferedSegments
 	// their parsed headers.
 	buffered         [][]byte
@@ -238,6 +243,7 @@
 	lastRequestSweep  time.Time
 	meanRequestTime   time.Duration // moving average of the request durations
 	outcomes          outcome.Tracker
+	pace              targetPace
 	actions           []Action
 }
 
--- a/internal/passthrough/report.go
+++ b/internal/passthrough/report.go
@@ -94,6 +94,7 @@
 	if left := c.coldUntil.Sub(now); left > 0 {
 		r.ColdMillis = int(left / time.Millisecond)
 	}
+	c.addPace(now, &r)
 	if c.reportSequence%reportsPerBalancerList == 1 {
 		r.Balancers = c.listBalancers()
 	}
--- a/internal/passthrough/requests.go
+++ b/internal/passthrough/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bulrushshelf/bulrushshelf/internal/model"
+	"github.com/bulrushshelf/bulrushshelf/internal/pace"
 	"github.com/bulrushshelf/bulrushshelf/internal/schedule"
 	"github.com/bulrushshelf/bulrushshelf/internal/segment"
 	"github.com/bulrushshelf/bulrushshelf/internal/steerwire"
@@ -100,14 +101,16 @@
 	}
 }
 
-// recordOutcome records the answer to the active request as a success, or a reset as
-// a failure.
-func (c *Core) recordOutcome(now time.Time, key model.Flow, f *flow, reset bool) {
-	if reset {
-		c.recordFailure(now, key, f, "reset")
+// handleAnswer records the answer to the active request and ends it.
+func (c *Core) handleAnswer(now time.Time, key model.Flow, f *flow) {
+	if c.endWork(now, f, pace.Answered) == pace.Quick {
+		c.recordFailure(now, key, f, "too_quick")
 	} else if !f.countedFailed {
 		c.outcomes.Record(now, false)
 	}
+	c.recordRequestTime(now.Sub(f.requestStart))
+	c.observe(LatencyRequest, "answered", now.Sub(f.requestStart))
+	c.endRequest(now, f)
 }
 
 // recordFailure records that the target did not answer the active request.
@@ -140,6 +143,7 @@
 			f.buffered, f.bufferedSegments = nil, nil
 		}
 	}
+	c.reportStall(now)
 	var ended []model.Flow
 	for k, f := range c.flows {
 		if f.requestActive && !f.countedFailed && now.Sub(f.requestStart) >= answerTimeout {
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -199,6 +199,7 @@
 		}
 	}
 	c.log(e)
+	c.forgetPace()
 }
 
 // dropProbes forgets the probes that the former start of the target has not bounced.
@@ -316,6 +317,9 @@
 	c.log(Entry{Event: "target_" + s.String(), Reason: reason, Sequence: c.target.Sequence, Age: now.Sub(c.targetLastSeen)})
 	c.state = s
 	c.unansweredOpenings = 0
+	if s == steerwire.TargetSilent {
+		c.forgetPace()
+	}
 	c.sendReports(now)
 }
 
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -26,6 +26,7 @@
 	SeedPort    int // peer port of all balancers
 	StoreURL    string
 	LogLevel    string
+	Pace        bool // place new flows by the measured speed of targets
 }
 
 // SteeringBalancer holds the settings of platform-balancer.
@@ -77,6 +78,7 @@
 		{Field{Name: "seed_port", Type: "whole number", Range: "1 to 65535", Required: true, Doc: "Port of the balancers' peer addresses."}, yamlScalar, decodeInt(&c.SeedPort, 1, maxPort)},
 		{Field{Name: "store_url", Type: "URL", Required: true, Doc: "Address of the platform's object store."}, yamlText, decodeURL(&c.StoreURL, false)},
 		{Field{Name: "log_level", Type: "text", Range: "debug, info, warn, error", Default: "info", Doc: "Lowest level that is logged."}, yamlText, decodeLogLevel(&c.LogLevel)},
+		{Field{Name: "pace", Type: "true or false", Default: "false", Doc: "Agents measure the service times of their targets, and balancers place new flows by the speed found in place of a fixed warm-up. Both kinds of process need it."}, yamlScalar, decodeBool(&c.Pace)},
 	}, more...)
 }
 
--- a/internal/steer/reports.go
+++ b/internal/steer/reports.go
@@ -55,6 +55,7 @@
 	if old.Service != r.Service || len(c.byService[r.Service]) == 0 {
 		c.rebuildServiceIndex()
 	}
+	c.updatePace(now, t)
 	if len(c.pendingOpenings) > 0 && r.State == steerwire.TargetReady {
 		c.placePending(now, r.Service)
 	}
--- a/internal/steer/resets.go
+++ b/internal/steer/resets.go
@@ -71,7 +71,10 @@
 			continue
 		}
 		slots := float64(t.report.Slots)
-		if now.Before(t.coldUntil) {
+		switch {
+		case t.pace.speed > 0:
+			slots *= min(t.pace.speed, 1)
+		case now.Before(t.coldUntil):
 			slots *= coldSlotFraction
 		}
 		out.Slots += slots
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -130,6 +130,8 @@
 	FullSegment int
 	// Evacuations is set if the operator may evacuate data centres.
 	Evacuations bool
+	// Pace makes the balancer place flows by the measured speed of targets.
+	Pace bool
 }
 
 // ActionKind is the type of an action.
@@ -295,6 +297,7 @@
 	preConfig           []preConfigPacket
 	resetQueues         map[model.ServiceName]*pacing.Queue[model.Flow]
 	pendingReset        map[model.Flow]pendingReset
+	references          map[model.ServiceName]serviceReference
 	actions             []Action
 	candidates          []candidate
 	lastConfigFetch     time.Time // when FetchConfig was last issued
@@ -318,6 +321,7 @@
 		byService:   make(map[model.ServiceName][]*target),
 		transfers:   shaping.New[transferPacket, delayedPacket](options.LinkBitsPerSecond),
 		resetQueues: make(map[model.ServiceName]*pacing.Queue[model.Flow]), pendingReset: make(map[model.Flow]pendingReset),
+		references: make(map[model.ServiceName]serviceReference),
 	}
 	c.firstHelloID = c.nextRandom()>>1 + 1
 	c.nextHelloID = c.firstHelloID
--- a/internal/steer/targets.go
+++ b/internal/steer/targets.go
@@ -34,6 +34,7 @@
 	certainAt      time.Time       // when its agent expects to know all flows of the target
 	assigned       float64         // flows placed since the last report
 	suspectUntil   time.Time       // before it, the target gets no new flows if there are others
+	pace           targetPace
 }
 
 func (c *Core) reachable(now time.Time, t *target) bool {
@@ -91,11 +92,19 @@
 }
 
 func (t *target) candidate(now time.Time, dc model.DataCentre) leastload.Candidate {
-	return leastload.Candidate{
+	k := leastload.Candidate{
 		Slots: t.report.Slots, Weight: t.override.Weight, Busy: float64(t.report.BusyCenti) / 100, Flows: t.report.Flows,
 		Assigned: t.assigned, Cold: now.Before(t.coldUntil), Remote: t.report.DataCentre != dc,
 		FailureRate: float64(t.report.FailingCenti) / 100,
 	}
+	if t.pace.speed > 0 {
+		k.Speed = t.pace.speed
+		k.Busy += float64(t.report.Waiting)
+	}
+	if t.pace.rejects {
+		k.FailureRate = 1
+	}
+	return k
 }
 
 // peer is another balancer.
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -106,6 +106,11 @@
 	return binary.BigEndian.AppendUint16(dst, clampMillis(t.Deadline))
 }
 
+// Class returns a number that is equal for requests of the same terms.
+func (t Terms) Class() uint64 {
+	return uint64(t.Priority)<<32 | uint64(clampMillis(t.Objective))<<16 | uint64(clampMillis(t.Deadline))
+}
+
 func decodeTerms(b []byte) Terms {
 	return Terms{
 		Priority:  b[0],
@@ -304,6 +309,20 @@
 	// CertainInMillis is the time until the agent expects to know all flows of its target. It
 	// is 0 if the agent knows them, or has no reason to expect so before the idle timeout.
 	CertainInMillis int `cbor:"25,keyasint,omitzero"`
+	// MeasuresPace is set if the agent measures service times, even while it knows none.
+	MeasuresPace bool `cbor:"35,keyasint,omitzero"`
+	// ServiceTimes are the target's recent service times by class.
+	ServiceTimes []ServiceTime `cbor:"36,keyasint,omitempty"`
+	// Waiting is the number of requests that wait at the agent for a slot. It is reported
+	// only together with MeasuresPace.
+	Waiting int `cbor:"37,keyasint,omitzero"`
+}
+
+// ServiceTime is the average service time of the requests of one class.
+type ServiceTime struct {
+	Class   uint64 `cbor:"1,keyasint"` // see Terms.Class
+	Micros  int64  `cbor:"2,keyasint"`
+	Samples int    `cbor:"3,keyasint"` // number of recent answers behind the average
 }
 
 // Message is a decoded message. Only the field of its kind is set.
