--- a/internal/steersim/network_test.go
+++ b/internal/steersim/network_test.go
@@ -235,6 +235,17 @@
 	b.execute(core.SetAgents(s.clock(b.addr), steer.AgentListing{Agents: s.staleListing(), Epoch: s.epoch}))
 }
 
+// listed returns the agents that the store lists.
+func (s *sim) listed() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, a := range s.agents {
+		if a.listed {
+			out = append(out, a.addr)
+		}
+	}
+	return out
+}
+
 // staleListing returns the agents that a listing names which may be outdated.
 func (s *sim) staleListing() []netip.AddrPort {
 	if s.staleness == 0 || len(s.snapshots) == 0 {
--- a/internal/steersim/sim_test.go
+++ b/internal/steersim/sim_test.go
@@ -303,17 +303,6 @@
 	s.after(storePoll, func() { s.whenAwake(b.addr, func() { b.watch(core) }) })
 }
 
-// listed returns the agents that the store lists.
-func (s *sim) listed() []netip.AddrPort {
-	var out []netip.AddrPort
-	for _, a := range s.agents {
-		if a.listed {
-			out = append(out, a.addr)
-		}
-	}
-	return out
-}
-
 func (b *balancer) kill() {
 	b.core, b.inRotation = nil, b.inRotation && b.s.probes != nil
 	b.timer = timer{}
