--- a/internal/passnode/balancer.go
+++ b/internal/passnode/balancer.go
@@ -188,8 +188,9 @@
 	b.decisionsAge.Store(b.core.DecisionsAge(now).Milliseconds())
 	b.capacity.update(now, b.core)
 	b.publishReadiness(now)
-	b.publishEvacuations(now)
-	if reads := b.core.ReadsStore(now); b.reader.set(reads) {
+	reads := b.core.ReadsStore(now)
+	b.publishEvacuations(now, reads)
+	if b.reader.set(reads) {
 		b.logWriter.enqueue(now, "store_reader", "reader", reads, "peers", b.core.Peers())
 	}
 }
--- a/internal/passnode/evacuations.go
+++ b/internal/passnode/evacuations.go
@@ -117,10 +117,10 @@
 }
 
 // publishEvacuations updates the gauges and the role of the balancer.
-func (b *Balancer) publishEvacuations(now time.Time) {
+func (b *Balancer) publishEvacuations(now time.Time, reads bool) {
 	b.evacuations.Store(int64(len(b.core.Evacuations())))
 	b.evacuationsAge.Store(b.core.EvacuationsAge(now).Milliseconds())
-	if watches := b.core.WatchesEvacuations(now); b.evacuationWatcher.set(watches) {
+	if watches := reads && b.core.WatchesEvacuations(now); b.evacuationWatcher.set(watches) {
 		b.logWriter.enqueue(now, "evacuations_watcher", "watcher", watches)
 	}
 }
--- a/internal/steer/evacuations.go
+++ b/internal/steer/evacuations.go
@@ -16,7 +16,7 @@
 // WatchesEvacuations reports whether the balancer watches the evacuations in the store for
 // others: it is the highest reader of its data centre.
 func (c *Core) WatchesEvacuations(now time.Time) bool {
-	return c.options.Evacuations && c.ReadsStore(now) && len(c.readersAbove(now)) == 0
+	return c.options.Evacuations && now.Sub(c.started) >= readerStartDelay && len(c.readersAbove(now)) == 0
 }
 
 // Evacuations returns the evacuated data centres.
