passnode: listed decision files and their age take effect in one call

What an operator saw: for a moment after a listing the new decision files were in effect with the age of the old ones, so that a gauge or a balancer asked in between could take them for stale.

Cause: applyListedDecisions put the files into effect in one call of the loop and confirmed their age in the next.

--- a/internal/passnode/configrpc.go
+++ b/internal/passnode/configrpc.go
@@ -86,7 +86,7 @@
 				continue
 			}
 			if c.Decisions != nil {
-				b.applyDecisions(ctx, *c.Decisions, "peer")
+				b.applyDecisions(ctx, *c.Decisions, "peer", time.Time{})
 			}
 			if len(c.Content) > 0 {
 				b.applyConfig(ctx, c.Revision, c.Content, "peer")
--- a/internal/passnode/decisions.go
+++ b/internal/passnode/decisions.go
@@ -216,19 +216,20 @@
 		next.Removed = f.Following(known.folder()).Removed
 		next.Confirmed = known.Confirmed || known.Epoch < next.Epoch && known.Epoch != 0
 	}
-	b.applyDecisions(ctx, next, "store")
-	_ = b.loop.call(ctx, func(now time.Time) { b.execute(now, b.core.DecisionsCurrent(now, l.AsOf)) }) // fails only at shutdown
+	b.applyDecisions(ctx, next, "store", l.AsOf)
 }
 
 // applyDecisions puts decision files into effect if they are newer than the current
-// ones, and logs and counts a change of their content.
-func (b *Balancer) applyDecisions(ctx context.Context, next sharedDecisions, source string) {
+// ones, and logs and counts a change of their content. asOf is when files from the store
+// were complete; it is not used for those of a peer, which tells their age in its hellos.
+func (b *Balancer) applyDecisions(ctx context.Context, next sharedDecisions, source string, asOf time.Time) {
 	s, findings := config.Merge(next.Files)
 	d := steer.Decisions{Epoch: next.Epoch, Revision: next.Revision, Digest: next.digest(), Files: s, Confirmed: next.Confirmed}
 	_ = b.loop.call(ctx, func(now time.Time) { // fails only at shutdown
 		old := b.core.Decisions()
 		if source == "store" {
 			b.execute(now, b.core.SetDecisions(now, d))
+			b.execute(now, b.core.DecisionsCurrent(now, asOf))
 		} else {
 			b.execute(now, b.core.SetPeerDecisions(now, d))
 		}
--- a/internal/passnode/decisions_test.go
+++ b/internal/passnode/decisions_test.go
@@ -166,7 +166,7 @@
 	b.applyDecisions(ctx, sharedDecisions{
 		Epoch: 1, Revision: 40, Files: map[string][]byte{"90-drain.yaml": []byte("target: a\ndrain: true\n")},
 		Versions: map[string]uint64{"90-drain.yaml": 32},
-	}, "peer")
+	}, "peer", time.Time{})
 	eventually(t, "the drain is in the store again", func() bool {
 		_, err := operator.Get(ctx, config.StorePrefix+"90-drain.yaml")
 		return err == nil
