--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -65,7 +66,8 @@
 	if _, err := p.AddGroup("Settings", "", target.Interface()); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	rest, err := p.ParseArgs(args)
+	// A platform that fills in arguments leaves those without a value empty.
+	rest, err := p.ParseArgs(slices.DeleteFunc(slices.Clone(args), func(a string) bool { return a == "" }))
 	if err != nil {
 		return nil, err // unwrapped: IsHelp needs the *flags.Error
 	}
