--- a/internal/docgen/sweep.go
+++ b/internal/docgen/sweep.go
@@ -77,7 +77,7 @@
 A loss of power of all VMs in the simulation (` + "`" + `go test ./internal/steersim -run AllVMsLosePower -v` + "`" + `, 50 agents, 16 balancers,
 3,000 open flows, heartbeats every 0.77 s, three seeds):
 
-| | 79b34ba | with certainty from first calls |
+| | 79b34ba | with certainty from first heartbeats |
 |---|---|---|
 | packets of ended flows sent to targets | 150,000, one for each flow and agent (seed 3) | 245 (seed 2) and 1,538 (seed 3) |
 | query entries for each flow and agent | 1.6 (seed 3) | 1.7 (all) |
--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -177,7 +177,7 @@
 		// A reset of an unknown flow needs no flow entry.
 	case f == nil:
 		f = &flow{phase: phaseEstablished, createdAt: now, lastSeen: now}
-		c.firstCall.refute() // the target holds a flow that this process has not delivered
+		c.firstHeartbeat.refute() // the target holds a flow that this process has not delivered
 		if s.Accepts() {
 			f.phase, f.targetISN, f.mayPredate = phaseAccepted, s.Seq, c.mayHoldUnseen
 		}
@@ -309,7 +309,7 @@
 // confirmProbe marks a flow as held and notifies the balancer that sent the probe.
 func (c *Core) confirmProbe(key model.Flow, f *flow) {
 	f.phase = phaseEstablished
-	c.firstCall.refute()
+	c.firstHeartbeat.refute()
 	c.send(f.balancer, steerwire.Message{Kind: steerwire.KindOpened, Opened: steerwire.Opened{Flow: key}})
 }
 
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -208,7 +208,7 @@
 	targetLastSeen     time.Time // last packet, heartbeat or successful health check
 	lastHeartbeat      time.Time // last accepted heartbeat
 	otherStart         otherStart
-	firstCall          firstCall
+	firstHeartbeat     firstHeartbeat
 	coldUntil          time.Time
 	cold               coldGate
 	fullUntil          time.Time
@@ -217,7 +217,7 @@
 	// flows must not look idle to the balancers.
 	bouncedOpenings int
 	// mayHoldUnseen is set while the target may hold flows from before the agent's start.
-	// Only what the agent has seen itself ends it, see firstCall: the time of day cannot
+	// Only what the agent has seen itself ends it, see firstHeartbeat: the time of day cannot
 	// tell which of the two started first.
 	mayHoldUnseen        bool
 	leaving              bool
@@ -370,7 +370,7 @@
 		c.sendReports(now)
 	}
 	c.checkHeartbeatAge(now)
-	c.checkFirstCall(now)
+	c.checkFirstHeartbeat(now)
 	if now.Sub(c.lastIdleSweep) >= idleSweepInterval {
 		c.lastIdleSweep = now
 		c.removeIdleFlows(now)
@@ -393,9 +393,9 @@
 	if !c.reportedDiscoverable && !c.firstHello.IsZero() {
 		next = minTime(next, c.firstHello.Add(unregisteredDelay))
 	}
-	if c.firstCall.state == firstCallHeard {
-		next = minTime(next, c.firstCall.checked.Add(firstCallCheckInterval))
-		if at := c.firstCall.settles(c.opts.HeartbeatInterval); at.After(c.firstCall.checked) {
+	if c.firstHeartbeat.state == firstHeartbeatHeard {
+		next = minTime(next, c.firstHeartbeat.checked.Add(firstHeartbeatCheckInterval))
+		if at := c.firstHeartbeat.settles(c.opts.HeartbeatInterval); at.After(c.firstHeartbeat.checked) {
 			next = minTime(next, at)
 		}
 	}
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -15,7 +15,7 @@
 	Slots         int
 	ColdRemaining time.Duration // remaining warm-up time after its start
 	Sequence      uint64        // increases until the target restarts
-	FirstCall     bool          // the target has made no call before this one since its start
+	First         bool          // the target has sent none before this one since its start
 	// StartMillis identifies a start together with Target. It is the Unix time of the start
 	// by the target's clock, which may be set back between two starts, so it has no order.
 	StartMillis int64
@@ -112,7 +112,7 @@
 	c.actions = c.actions[:0]
 	v := c.checkHeartbeat(now, h)
 	c.count(CounterHeartbeats, v.String())
-	c.hearCall(now, h)
+	c.followHeartbeat(now, h)
 	if v != Accepted {
 		c.log(Entry{Event: "heartbeat", Target: h.Target, StartMillis: h.StartMillis, Reason: v.String(), Sequence: h.Sequence, Age: now.Sub(c.targetLastSeen)})
 		if v == Unconfirmed && h.Draining && c.state != steerwire.TargetGone {
@@ -276,7 +276,7 @@
 // be a late one of an earlier start, so the target only gets no new flows until then.
 func (c *Core) HandleTargetExit(now time.Time, e Exit) []Action {
 	c.actions = c.actions[:0]
-	c.firstCall.refute()
+	c.firstHeartbeat.refute()
 	switch {
 	case !c.heartbeatReceived:
 		c.target.Draining = true
--- a/internal/steersim/latetargets_test.go
+++ b/internal/steersim/latetargets_test.go
@@ -63,8 +63,8 @@
 }
 
 // Guards against resets of idle flows of a running target whose agent restarts and then gets
-// the first calls of the target before, delayed and at the usual interval.
-func TestFaultLateFirstCallsOfAnEarlierTarget(t *testing.T) {
+// the first heartbeats of the target before, delayed and at the usual interval.
+func TestFaultLateFirstHeartbeatsOfAnEarlierTarget(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		s := newSim(t, seed, 3, map[model.ServiceName]int{"alpha": 2})
 		s.promptTimers = true
@@ -80,7 +80,7 @@
 		a.restart()
 		for n := range uint64(4) {
 			s.after(processRestartTime+time.Millisecond+time.Duration(n)*s.heartbeatInterval, func() {
-				earlier.Sequence, earlier.FirstCall = n+1, n == 0
+				earlier.Sequence, earlier.First = n+1, n == 0
 				_, actions := a.core.HandleHeartbeat(s.clock(a.addr), earlier)
 				a.execute(actions)
 			})
--- a/internal/steersim/target_test.go
+++ b/internal/steersim/target_test.go
@@ -65,7 +65,7 @@
 	}
 	if !t.silent && a.core != nil && !a.s.paused[a.addr] {
 		v, actions := a.core.HandleHeartbeat(a.s.clock(a.addr), passthrough.Heartbeat{
-			Target: t.id, Service: t.service, Draining: t.draining, Slots: t.slots, Sequence: t.seq, FirstCall: t.seq == 1, StartMillis: t.startMillis,
+			Target: t.id, Service: t.service, Draining: t.draining, Slots: t.slots, Sequence: t.seq, First: t.seq == 1, StartMillis: t.startMillis,
 		})
 		if v == passthrough.Accepted && t.draining && t.drainedAt.IsZero() {
 			t.drainedAt = a.s.now
