Late packets of an earlier flow do not end the open flow of their port

Change: an opening of another flow goes to the entry's target first, and is placed elsewhere only if that refuses it and another target takes flows. The sequence number of an entry follows packets of its own flow only. A lookup of the next flow starts after the answers to the last one's queries have had time to arrive (the caller's next copy). Notices of a lost flow count from the entry's target only. Returned probes reach their lookup. A closed flow whose opening the process has delivered is not held.

--- a/internal/passthrough/flows.go
+++ b/internal/passthrough/flows.go
@@ -63,7 +63,7 @@
 		c.refuse(now, from, m, s, steerwire.ReasonCold)
 		return
 	}
-	c.flows[s.Flow] = &flow{phase: phaseOpening, balancer: from, createdAt: now, lastSeen: now, callerNextSeq: s.Seq + 1, mayPredate: c.mayHoldUnseen}
+	c.flows[s.Flow] = &flow{phase: phaseOpening, balancer: from, createdAt: now, lastSeen: now, callerNextSeq: s.Seq + 1, mayPredate: c.mayHoldUnseen, openedHere: true}
 	c.deliveredOpenings = append(c.deliveredOpenings, deliveredPacket{flow: s.Flow, deliveredAt: now})
 	c.deliver(s.Flow, m.Packet)
 }
@@ -168,7 +168,7 @@
 	}
 	f := c.flows[s.Flow]
 	if f != nil && f.opensAnother(s) {
-		next := &flow{phase: phaseAccepted, targetISN: s.Seq, balancer: f.balancer, createdAt: now, callerNextSeq: s.Ack}
+		next := &flow{phase: phaseAccepted, targetISN: s.Seq, balancer: f.balancer, createdAt: now, callerNextSeq: s.Ack, openedHere: true}
 		c.removeFlow(now, s.Flow, f)
 		f, c.flows[s.Flow] = next, next
 	}
@@ -199,8 +199,9 @@
 	}
 	if f != nil {
 		f.lastSeen = now
+		known := f.sent.known
 		f.sent.extend(s)
-		if f.mayPredate && f.phase == phaseAccepted && s.Accepts() {
+		if s.Accepts() && (f.mayPredate && f.phase == phaseAccepted || !known && f.phase == phaseEstablished) {
 			f.sent.estimated, f.sent.end = true, s.Seq+maxAckAdvance // the answer may be to a late copy
 		}
 		f.confirmedHeld = f.confirmedHeld || f.phase == phaseEstablished && !s.Accepts()
--- a/internal/passthrough/identity.go
+++ b/internal/passthrough/identity.go
@@ -59,9 +59,11 @@
 	return s.Accepts() && f.phase == phaseEstablished && f.sent.known && !f.sent.contains(s.Seq+1)
 }
 
-// otherFlowStatus is the status of a flow of the same addresses and ports as this one.
-func (f *flow) otherFlowStatus(mayHoldUnseen bool) steerwire.FlowStatus {
-	if f.closed && !mayHoldUnseen {
+// statusOfAnother is the status of another flow of the same addresses and ports than f.
+func (f *flow) statusOfAnother(mayHoldUnseen bool) steerwire.FlowStatus {
+	// The opening of a later flow at this target passes this process too, and would have
+	// replaced the entry.
+	if f.closed && (f.openedHere || !mayHoldUnseen) {
 		return steerwire.NotHeld
 	}
 	return steerwire.Unsure // a late packet must not cause a reset of the open flow
--- a/internal/passthrough/identity_test.go
+++ b/internal/passthrough/identity_test.go
@@ -77,3 +77,40 @@
 	late.Ack = early.Seq - 80_000
 	is.Equal(delivered(forward(c, ms(30), late)), 1)
 }
+
+// Guards against packets of the port's next flow at the target of a closed one whose agent does
+// not know all flows of its target.
+func TestClosedFlowAtAnUncertainAgent(t *testing.T) {
+	is := is.New(t)
+	c := newReadyCore()
+	c.mayHoldUnseen = true
+	openFlow(c, ms(10), 1)
+	last := request(1)
+	last.Flags |= segment.FIN
+	forward(c, ms(20), last)
+	fin := response(1)
+	fin.Flags |= segment.FIN
+	c.FromTarget(ms(30), fin, nil)
+	next := request(1)
+	next.Seq, next.Ack = last.Seq+1<<30, last.Ack+1<<30
+	is.Equal(refusal(forward(c, ms(50), next)), steerwire.ReasonNotHeld)
+}
+
+// Guards against refused requests of an open flow after a late copy of its opening packet was
+// answered, at an agent that has not seen the flow's answers.
+func TestLateOpeningOfAFlowKnownFromAProbe(t *testing.T) {
+	is := is.New(t)
+	c := newReadyCore()
+	c.mayHoldUnseen = true
+	ack := request(1)
+	ack.DataLen, ack.Ack = 0, targetSeq+1+200_000
+	is.Equal(delivered(forward(c, ms(10), ack)), 1)
+	c.FromTarget(ms(20), response(9), nil) // the target runs
+	c.Tick(ms(100))
+	is.Equal(c.flowStatus(flowOf(1), ack.Ack), steerwire.Held)
+	is.Equal(delivered(forward(c, ms(110), syn(1))), 1)
+	c.FromTarget(ms(111), synAck(1), nil)
+	again := request(1)
+	again.Ack = ack.Ack
+	is.Equal(delivered(forward(c, ms(120), again)), 1)
+}
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -182,6 +182,7 @@
 	callerFIN     bool
 	targetFIN     bool
 	closed        bool
+	openedHere    bool // this process has delivered the opening packet
 	// mayPredate is set if the agent did not know all flows of its target when the entry was
 	// created, so that the opening packet may have been a late copy of an open flow's.
 	mayPredate bool
@@ -346,7 +347,7 @@
 	if f := c.flows[key]; f != nil {
 		switch {
 		case f.phase == phaseEstablished && !f.sent.contains(ack):
-			return f.otherFlowStatus(c.mayHoldUnseen)
+			return f.statusOfAnother(c.mayHoldUnseen)
 		case f.phase == phaseEstablished, f.phase == phaseAccepted && ack == f.targetISN+1:
 			return steerwire.Held
 		case f.phase == phaseProbing, f.mayPredate && (f.phase == phaseOpening || ack-f.targetISN-1 < maxAckAdvance):
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -20,10 +20,6 @@
 // handleOpening handles the opening packet of a flow, or a retransmission of it.
 func (c *Core) handleOpening(now time.Time, s segment.Segment, raw []byte) {
 	f := c.flows[s.Flow]
-	if f != nil && f.opened && !sameFlow(f.seq, s.Seq) {
-		c.forgetFlow(s.Flow)
-		f = nil
-	}
 	if f != nil && f.ntried == 0 && !f.opened {
 		return // queued for a target
 	}
@@ -213,7 +209,10 @@
 		c.lookUpHolder(now, s, raw, true)
 		return
 	}
-	f.lastSeen, f.seq, f.ack = now, s.Seq, s.Ack
+	if sameFlow(f.seq, s.Seq) {
+		f.seq = s.Seq
+	}
+	f.lastSeen, f.ack = now, s.Ack
 	c.forwardShaped(now, f, s, raw)
 }
 
@@ -228,6 +227,10 @@
 			t.suspectUntil = now.Add(suspectDuration) // its next report ends this early
 		}
 		f.addRefused(from)
+		if f.target == from && f.opened && !sameFlow(f.seq, s.Seq) {
+			c.placeNextFlow(now, s, r.Packet, f)
+			return
+		}
 		if f.target != from || f.opened {
 			return // the opening packet was forwarded to another target or has been answered
 		}
@@ -236,7 +239,12 @@
 		c.placeFlow(now, s.Flow, f)
 		return
 	}
-	if r.Reason == steerwire.ReasonLost {
+	l := c.lookups[s.Flow]
+	if l != nil && !l.idle && slices.Contains(l.probing, from) {
+		c.handleReturnedProbe(now, s.Flow, l, from, r.Reason)
+		return
+	}
+	if r.Reason == steerwire.ReasonLost && (f == nil || f.target == from) && (l == nil || sameFlow(l.ack, s.Ack)) {
 		// The agent has seen that the target held the flow and lost it: the flow is over.
 		c.log(Entry{Event: "reset", Flow: s.Flow, Target: from, Reason: r.Reason.String(), Version: c.version()})
 		c.reset(s.Flow, s.Ack, r.Reason.String())
@@ -253,7 +261,7 @@
 		c.forward(s.Flow, f.target, f.service, r.Packet)
 		return
 	}
-	if l := c.lookups[s.Flow]; f == nil && l != nil && l.misplaced && !l.idle {
+	if f == nil && l != nil && l.misplaced && !l.idle {
 		c.handleReturnedProbe(now, s.Flow, l, from, r.Reason)
 		return
 	}
--- a/internal/steer/identity.go
+++ b/internal/steer/identity.go
@@ -28,6 +28,25 @@
 	delete(c.pendingReset, key)
 }
 
+// placeNextFlow places an opening of a port that the target of the port's last flow refused. The
+// entry of that one stays if there is no other target, because the opening may be a late copy
+// of an earlier flow's.
+func (c *Core) placeNextFlow(now time.Time, s segment.Segment, raw []byte, last *flow) {
+	route, ok := c.config.Routes[s.Flow.Dst]
+	if !ok {
+		return
+	}
+	next := &flow{service: route.service(s.Flow.Hash()), syn: slices.Clone(raw), seq: s.Seq, lastSeen: now}
+	next.addTried(last.target)
+	next.addRefused(last.target)
+	if c.chooseTarget(now, next) == nil {
+		return
+	}
+	c.forgetFlow(s.Flow)
+	c.flows[s.Flow] = next
+	c.placeFlow(now, s.Flow, next)
+}
+
 // handleOtherFlow handles a packet that an agent returned because its target holds another
 // flow of the same addresses and ports. Either the caller has abandoned that one, and the
 // packet's flow is looked up, or the packet is a late one: the entry is kept until another
@@ -37,10 +56,6 @@
 		c.forward(s.Flow, f.target, f.service, r.Packet)
 		return
 	}
-	if l := c.lookups[s.Flow]; l != nil && slices.Contains(l.probing, from) {
-		c.handleReturnedProbe(now, s.Flow, l, from, r.Reason)
-		return
-	}
 	c.lookUpHolder(now, s, r.Packet, false)
 	if l := c.lookups[s.Flow]; l != nil {
 		l.misplaced = true
--- a/internal/steer/lookups.go
+++ b/internal/steer/lookups.go
@@ -22,8 +22,8 @@
 	attempts   int       // queries to unanswered agents in this round; 0 before the first round
 	idle       bool      // no query is outstanding: before the first round, or no holder was found
 	// queried are the agents of this lookup, sorted. Those that are neither in unanswered
-	// nor in unsure answered NotHeld. That answer is final, because a flow is opened only
-	// once, so they are not queried again.
+	// nor in unsure answered NotHeld. That answer is final for this flow, because it is
+	// opened only once, so they are not queried again.
 	queried       []netip.AddrPort
 	allNotHeld    bool             // all agents in queried answered NotHeld
 	finalRound    bool             // the current round decides on a reset
@@ -56,7 +56,15 @@
 	}
 	l := c.lookups[s.Flow]
 	if l != nil && !sameFlow(l.ack, s.Ack) {
-		l = nil // of an earlier flow with the same addresses, which other targets denied
+		// Of an earlier flow with the same addresses. Answers name no acknowledgement number, so
+		// those on their way must arrive first; the caller sends its packet again.
+		outstanding := len(l.unanswered) > 0
+		l = nil
+		if outstanding {
+			c.lookups[s.Flow] = &lookup{startedAt: now, phaseStart: now, idle: true, seq: s.Seq, ack: s.Ack}
+			c.count(CounterDropped, "earlier_lookup")
+			return
+		}
 	}
 	if l == nil {
 		if len(c.lookups) >= maxLookups {
--- a/internal/steerwire/steerwire.go
+++ b/internal/steerwire/steerwire.go
@@ -161,7 +161,8 @@
 type FlowStatus uint8
 
 // The flow statuses. Unsure means that the agent started after its target and has seen no
-// packet of the flow, or only a probe that is still pending.
+// packet of the flow, or only a probe that is still pending, or that the target holds another
+// flow of the same addresses and ports.
 const (
 	NotHeld FlowStatus = iota + 1
 	Held
