--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -171,7 +171,7 @@
 type flow struct {
 	phase         phase
 	targetISN     uint32         // sequence number of the target's answer to the opening packet
-	sent          ackRange       // sequence numbers of the target's packets
+	sent          ackRange       // what the target has sent, as acknowledgement numbers of its caller
 	balancer      netip.AddrPort // that forwarded the last packet
 	createdAt     time.Time      // delivery of the opening packet or probe, or the target's first packet
 	lastSeen      time.Time
