A probe at a target that was not running is repeated after its start

Cause: an agent that starts beside a target that is not running delivers probes, since also after one refused health check. Nobody bounces them, and when the target starts, its first heartbeat counted as the sign that a running target had kept them. Probes before another start are forgotten; those before the first heartbeat that the process hears were not.

Change: probes after which the target has sent nothing are forgotten at the first heartbeat, and repeated by their lookups.

--- a/internal/passthrough/probes_test.go
+++ b/internal/passthrough/probes_test.go
@@ -176,3 +176,16 @@
 	is.Equal(delivered(forward(c, ms(21), request(1))), 1)
 	is.Equal(c.load.requests, 0)
 }
+
+// Guards against a probe that counts as accepted by a target which was not running, at an agent
+// that has just started and hears of the target's next start first.
+func TestProbeBeforeTheFirstHeartbeatIsRepeated(t *testing.T) {
+	is := is.New(t)
+	c := newCore(false)
+	is.Equal(delivered(forward(c, ms(10), request(1))), 1)
+	c.Tick(ms(61)) // nobody has bounced it
+	c.HandleHeartbeat(ms(600), heartbeat(1))
+	c.Tick(ms(651))
+	is.Equal(c.flowStatus(flowOf(1), request(1).Ack), steerwire.Unsure)
+	is.Equal(delivered(forward(c, ms(652), request(1))), 1) // the running target decides
+}
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -185,6 +185,8 @@
 func (c *Core) recordStart(now time.Time, h Heartbeat) {
 	if c.heartbeatReceived {
 		c.dropProbes(now)
+	} else {
+		c.dropSilentProbes(now)
 	}
 	e := Entry{Event: "target_start", Target: h.Target, StartMillis: h.StartMillis, Reason: "first_heartbeat", Sequence: h.Sequence}
 	if c.heartbeatReceived {
@@ -212,6 +214,17 @@
 	c.deliveredProbes, c.silentProbes = c.deliveredProbes[:0], c.silentProbes[:0]
 }
 
+// dropSilentProbes forgets the probes after which the target has sent nothing. It may not have
+// been running then, so they are repeated.
+func (c *Core) dropSilentProbes(now time.Time) {
+	for _, p := range c.silentProbes {
+		if f := c.flows[p.flow]; f != nil && f.phase == phaseProbing && f.createdAt.Equal(p.deliveredAt) {
+			c.removeFlow(now, p.flow, f)
+		}
+	}
+	c.silentProbes = c.silentProbes[:0]
+}
+
 // Health is the outcome of a health check.
 type Health uint8
 
