--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -31,10 +31,12 @@
 	accepted       bool // a SYN+ACK has arrived
 	reset          bool
 	resetBySystem  bool
-	finReceived    bool
-	unacked        []*sentPacket
-	answer         []byte
-	changed        chan struct{}
+	// oneRequest makes the caller ask the host to close the flow after its answer.
+	oneRequest  bool
+	finReceived bool
+	unacked     []*sentPacket
+	answer      []byte
+	changed     chan struct{}
 }
 
 var (
@@ -220,7 +222,11 @@
 	if method == "GET" {
 		body = ""
 	}
-	text := fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: %s\r\nX-Bulrushshelf-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", method, id, f.key.dst, id, len(body), body)
+	connection := ""
+	if f.oneRequest {
+		connection = closeHeader
+	}
+	text := fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: %s\r\nX-Bulrushshelf-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", method, id, f.key.dst, id, connection, len(body), body)
 	f.c.rec.add("client sends request %s on %s>%s", id, f.key.src, f.key.dst)
 	f.c.mu.Lock()
 	f.answer = nil
@@ -235,8 +241,13 @@
 	return nil
 }
 
-// close closes the flow from both ends.
+// close closes the flow from both ends. The host goes first if it was asked to.
 func (f *clientFlow) close() error {
+	if f.oneRequest {
+		if err := f.wait(2*time.Second, func() bool { return f.finReceived }); err != nil {
+			return err
+		}
+	}
 	f.c.mu.Lock()
 	f.send(packet{flags: flagACK | flagFIN}, true)
 	f.c.mu.Unlock()
@@ -250,6 +261,8 @@
 	return f.resetBySystem
 }
 
+const closeHeader = "Connection: close\r\n"
+
 const idHeader = "X-Bulrushshelf-Request-Id: "
 
 // requestID returns the id of a request.
--- a/review/_standin2/coldhost.go
+++ b/review/_standin2/coldhost.go
@@ -20,9 +20,9 @@
 	// agentDelay is how much later than the host its agent starts. All machines start
 	// within 0.3 s of each other, in any order.
 	agentDelay    = 200 * time.Millisecond
-	downTime      = 700 * time.Millisecond
+	downTime      = 500 * time.Millisecond
 	longFlows     = 30
-	newFlowsEvery = 10 * time.Millisecond
+	newFlowsEvery = 5 * time.Millisecond
 )
 
 // offerNewFlows opens a flow for a request again and again.
@@ -97,6 +97,7 @@
 	if err != nil {
 		return // counted by nobody: the caller may try again
 	}
+	f.oneRequest = true
 	if f.request(fmt.Sprintf("once-%d", port), "GET", 1200*time.Millisecond) == nil {
 		_ = f.close()
 	}
--- a/review/_standin2/droppedroute.go
+++ b/review/_standin2/droppedroute.go
@@ -37,6 +37,7 @@
 	check(err)
 	f, err := c.open(reusedPort, dropped.addr)
 	check(err)
+	f.oneRequest = true
 	check(f.request("before", "POST", 1500*time.Millisecond))
 	check(f.close())
 	rec.add("client: the flow is closed from both ends")
@@ -77,8 +78,13 @@
 // send sends a request on a flow of its own, closes the flow, and returns the hosts that ran
 // the request.
 func (c *client) send(port uint16, to netip.AddrPort, id string) []string {
-	if f, err := c.open(port, to); err == nil && f.request(id, "POST", 1500*time.Millisecond) == nil {
-		_ = f.close()
+	f, err := c.open(port, to)
+	if err != nil {
+		return nil
+	}
+	f.oneRequest = true
+	if f.request(id, "POST", 1500*time.Millisecond) == nil {
+		check(f.close())
 	}
 	return c.rec.ranBy(id)
 }
--- a/review/_standin2/host.go
+++ b/review/_standin2/host.go
@@ -229,7 +229,7 @@
 	}
 	f.received = p.end()
 	if len(p.data) > 0 {
-		id := requestID(p.data)
+		id, last := requestID(p.data), bytes.Contains(p.data, []byte(closeHeader))
 		h.rec.add("host %s (%s) runs request %s of %s>%s", h.opts.id, h.opts.service, id, key.src, key.dst)
 		h.rec.ran(id, h.opts.id)
 		time.AfterFunc(h.opts.work, func() {
@@ -237,6 +237,9 @@
 			defer h.mu.Unlock()
 			if !h.stopped && !h.mute && h.flows[key] == f {
 				h.send(key, f, packet{flags: flagACK, data: response(id, h.opts.id)}, true)
+				if last {
+					h.close(key, f)
+				}
 			}
 		})
 	}
