--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -235,12 +235,23 @@
 	err := f.wait(timeout, func() bool { return strings.Contains(string(f.answer), "Request-Id: "+id+"\r\n") })
 	if err != nil {
 		f.c.rec.add("client: request %s has no answer: %v", id, err)
+		f.giveUp()
 		return err
 	}
 	f.c.rec.add("client: request %s is answered", id)
 	return nil
 }
 
+// giveUp sends the caller's FIN, and no data again.
+func (f *clientFlow) giveUp() {
+	f.c.mu.Lock()
+	defer f.c.mu.Unlock()
+	f.unacked = nil
+	if !f.reset {
+		f.send(packet{flags: flagACK | flagFIN}, true)
+	}
+}
+
 // close closes the flow from both ends. The host goes first if it was asked to.
 func (f *clientFlow) close() error {
 	if f.oneRequest {
